--- /dev/null
+++ b/internal/commander/commander.go
@@ -0,0 +1,64 @@
+// Package commander implements the subcommands of the quetzalhitch binary, a
+// file for each.
+package commander
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/alexflint/go-arg"
+)
+
+// Exit codes of the binary.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+// Args are the command line arguments of the binary.
+type Args struct {
+	Version *VersionCmd `arg:"subcommand:version" help:"print the version"`
+}
+
+// Description is shown at the top of the help text.
+func (Args) Description() string {
+	return "quetzalhitch serves online and batch inference on one fleet."
+}
+
+// A runnable is a subcommand with its parsed arguments.
+type runnable interface {
+	run(stdout, stderr io.Writer) error
+}
+
+// Main parses args, runs the chosen subcommand and returns the exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	var parsed Args
+	parser, err := arg.NewParser(arg.Config{Program: "quetzalhitch", Out: stderr}, &parsed)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitUsage
+	}
+
+	switch err := parser.Parse(args); {
+	case errors.Is(err, arg.ErrHelp):
+		_ = parser.WriteHelpForSubcommand(stdout, parser.SubcommandNames()...)
+		return exitOK
+	case err != nil:
+		_ = parser.WriteUsageForSubcommand(stderr, parser.SubcommandNames()...)
+		fmt.Fprintln(stderr, "error:", err)
+		return exitUsage
+	}
+
+	cmd, ok := parser.Subcommand().(runnable)
+	if !ok {
+		parser.WriteHelp(stderr)
+		return exitUsage
+	}
+	if err := cmd.run(stdout, stderr); err != nil {
+		fmt.Fprintln(stderr, "error:", err)
+		return exitFailure
+	}
+	return exitOK
+}
