feat: durable intents of idempotency keys

Purpose: a resend of a non-idempotent request through any entry must not run it again. One record per request was ruled out because its writes grow with the rate.

A write whose answer was lost is applied again to what the store holds: its own attempt is recognised there, and a late first write fails on the version. A refused caller's intent is removed, as its write may still take effect.

--- /dev/null
+++ b/internal/recorder/recorder_test.go
@@ -0,0 +1,214 @@
+package recorder
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/storer"
+)
+
+// A fakeStore is a compare-and-swap store with faults.
+type fakeStore struct {
+	mu      sync.Mutex
+	entries map[string]storer.Entry
+	version int64
+	writes  int
+	lose    int           // Number of writes that take effect and lose their answer.
+	down    bool          // Calls fail without effect.
+	hold    chan struct{} // When set, writes wait until it is closed.
+}
+
+func (s *fakeStore) Get(_ context.Context, key string) (storer.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return storer.Entry{}, storer.ErrUnavailable
+	}
+	entry, ok := s.entries[key]
+	if !ok {
+		return storer.Entry{}, storer.ErrNotFound
+	}
+	return entry, nil
+}
+
+func (s *fakeStore) Put(_ context.Context, r storer.PutRequest) (storer.Entry, error) {
+	if s.hold != nil {
+		<-s.hold
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return storer.Entry{}, storer.ErrUnavailable
+	}
+	if s.entries[r.Key].Version != r.ExpectedVersion {
+		return storer.Entry{}, storer.ErrConflict
+	}
+	s.version++
+	s.writes++
+	s.entries[r.Key] = storer.Entry{Key: r.Key, Value: r.Value, Version: s.version}
+	if s.lose > 0 {
+		s.lose--
+		return storer.Entry{}, storer.ErrUnknownEffect
+	}
+	return s.entries[r.Key], nil
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{entries: map[string]storer.Entry{}}
+}
+
+func startRecorder(t *testing.T, instance string, store Store, clock Clock) *Recorder {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	r := New(instance, 1, store, clock)
+	done := r.Start(ctx)
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-done)
+	})
+	return r
+}
+
+func assertVerdict(t *testing.T, r *Recorder, i Intent, want Verdict) Decision {
+	t.Helper()
+	d, err := r.Begin(context.Background(), i)
+	assert.NilError(t, err)
+	assert.Equal(t, d.Verdict, want)
+	return d
+}
+
+// Guards against an order that is placed twice when its caller sends it again
+// through another entry.
+func TestResend(t *testing.T) {
+	store := newFakeStore()
+	clock := clockwork.NewFakeClock()
+	first := startRecorder(t, "entry-1", store, clock)
+	second := startRecorder(t, "entry-2", store, clock)
+	order := Intent{Workspace: "packing", Key: "order-1", ContentDigest: "a"}
+
+	ticket := assertVerdict(t, first, order, Fresh).Ticket
+
+	t.Run("while it runs", func(t *testing.T) {
+		assertVerdict(t, second, order, InDoubt)
+	})
+	t.Run("with other content", func(t *testing.T) {
+		assertVerdict(t, second, Intent{Workspace: "packing", Key: "order-1", ContentDigest: "b"}, Conflict)
+	})
+	t.Run("from another workspace", func(t *testing.T) {
+		assertVerdict(t, second, Intent{Workspace: "cellar", Key: "order-1", ContentDigest: "a"}, Fresh)
+	})
+	t.Run("after its end", func(t *testing.T) {
+		assert.NilError(t, first.Finish(context.Background(), ticket, Done, Answer{Status: 201, Body: []byte("booked")}))
+		d := assertVerdict(t, second, order, Replay)
+		assert.Equal(t, string(d.Answer.Body), "booked")
+	})
+	t.Run("before the end of the retention", func(t *testing.T) {
+		clock.Advance(retention - time.Minute)
+		assertVerdict(t, second, order, Replay)
+	})
+	t.Run("after the retention", func(t *testing.T) {
+		clock.Advance(2 * time.Minute)
+		assertVerdict(t, second, order, Fresh)
+	})
+}
+
+// Guards against a request that is refused, or run twice, because the answer
+// of the platform to the intent's write was lost.
+func TestLostAnswer(t *testing.T) {
+	store := newFakeStore()
+	r := startRecorder(t, "entry-1", store, clockwork.NewFakeClock())
+
+	store.lose = 1
+	order := Intent{Workspace: "packing", Key: "order-1", ContentDigest: "a"}
+	assertVerdict(t, r, order, Fresh)
+	assert.Equal(t, store.writes, 1)
+	assertVerdict(t, r, order, InDoubt)
+}
+
+// Guards against a dispatch without a durable intent.
+func TestPlatformDown(t *testing.T) {
+	store := newFakeStore()
+	r := startRecorder(t, "entry-1", store, clockwork.NewFakeClock())
+
+	store.down = true
+	_, err := r.Begin(context.Background(), Intent{Workspace: "packing", Key: "order-1"})
+	assert.ErrorIs(t, err, storer.ErrUnavailable)
+}
+
+// Guards against a resend that is in doubt for ever although its request was
+// surely not dispatched.
+func TestCancel(t *testing.T) {
+	r := startRecorder(t, "entry-1", newFakeStore(), clockwork.NewFakeClock())
+	order := Intent{Workspace: "packing", Key: "order-1", ContentDigest: "a"}
+
+	ticket := assertVerdict(t, r, order, Fresh).Ticket
+	assert.NilError(t, r.Cancel(context.Background(), ticket))
+	assertVerdict(t, r, order, Fresh)
+}
+
+// Guards against platform writes that grow with the request rate.
+func TestGroupedWrites(t *testing.T) {
+	const requests = 40 * buckets
+	store := newFakeStore()
+	store.hold = make(chan struct{})
+	r := startRecorder(t, "entry-1", store, clockwork.NewFakeClock())
+
+	var wg sync.WaitGroup
+	for n := range requests {
+		wg.Go(func() {
+			d, err := r.Begin(context.Background(), Intent{Workspace: "packing", Key: fmt.Sprint(n)})
+			assert.Check(t, err)
+			assert.Check(t, d.Verdict == Fresh)
+		})
+	}
+	// One write of each bucket is held in the store; the rest has to queue.
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n := queued(r); n < requests-buckets*maxHeldGroup {
+			return poll.Continue("%d operations queued", n)
+		}
+		return poll.Success()
+	})
+	close(store.hold)
+	wg.Wait()
+	assert.Check(t, store.writes <= 3*buckets, "%d writes", store.writes)
+}
+
+// maxHeldGroup is more than the operations that a bucket takes into its first
+// group before the store holds it.
+const maxHeldGroup = 10
+
+func queued(r *Recorder) (n int) {
+	for i := range r.buckets {
+		b := &r.buckets[i]
+		b.mu.Lock()
+		n += len(b.pending)
+		b.mu.Unlock()
+	}
+	return n
+}
+
+// Guards against a bucket that outgrows a value of the platform: the oldest
+// bodies go first and their resends are told that the request ran.
+func TestFullBucket(t *testing.T) {
+	records := map[string]*record{}
+	for n := range 64 {
+		records[fmt.Sprint(n)] = &record{
+			State:  Done,
+			Begun:  time.Unix(int64(n), 0),
+			Answer: &Answer{Body: make([]byte, MaxAnswerBytes)},
+		}
+	}
+
+	value, err := encode(records)
+	assert.NilError(t, err)
+	assert.Check(t, len(value) <= maxBucketBytes)
+	assert.Check(t, records["0"].Answer.Omitted)
+	assert.Check(t, !records["63"].Answer.Omitted)
+}
