feat: client and stand-in of the platform's key-value service

Every lease, claim and configuration head rests on the platform, whose answers can be lost after a write took effect. The client therefore tells three cases apart: a call that surely had no effect (the dial failed, or it was a read), a write in doubt, and a conflict with the present entry. Automatic repetition, which the HTTP library offers for PUT, is switched off, because a repeated compare-and-swap hides whose write won.

The stand-in serves it over HTTP with outages, delays, lost and late writes, cut clients and a lagging list of instances.

--- /dev/null
+++ b/internal/emulator/platformemulator/controls.go
@@ -0,0 +1,73 @@
+package platformemulator
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/url"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/gofiber/fiber/v3"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/storer"
+)
+
+// Paths of the controls, which no fault touches except that a refusing outage
+// closes the port.
+const (
+	PathFault = "/fault"
+	PathStats = "/stats"
+)
+
+// routeControls serves the controls.
+func (s *Server) routeControls(app *fiber.App) {
+	app.Get(PathFault, func(c fiber.Ctx) error { return c.JSON(s.Faults()) })
+	app.Post(PathFault, s.setFaults)
+	app.Get(PathStats, func(c fiber.Ctx) error { return c.JSON(s.Stats()) })
+	app.Put(storer.PathInstances+"/:id", s.putInstance)
+	app.Delete(storer.PathInstances+"/:id", s.deleteInstance)
+}
+
+// setFaults replaces the faults by those of the body.
+func (s *Server) setFaults(c fiber.Ctx) error {
+	var f Faults
+	decoder := json.NewDecoder(bytes.NewReader(c.Body()))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&f); err != nil {
+		return refuse(c, err)
+	}
+	if f.Outage == OutageRefuse && s.control == nil {
+		return refuse(c, merry.New("an outage that closes the port needs a control address to end it"))
+	}
+	if err := s.SetFaults(f); err != nil {
+		return refuse(c, err)
+	}
+	return c.JSON(s.Faults())
+}
+
+func (s *Server) putInstance(c fiber.Ctx) error {
+	id, err := url.PathUnescape(c.Params("id"))
+	if err != nil {
+		return refuse(c, err)
+	}
+	var row storer.ListedInstance
+	if err := json.Unmarshal(c.Body(), &row); err != nil {
+		return refuse(c, err)
+	}
+	row.ID = id
+	s.SetInstance(row)
+	return c.JSON(row)
+}
+
+func (s *Server) deleteInstance(c fiber.Ctx) error {
+	id, err := url.PathUnescape(c.Params("id"))
+	if err != nil {
+		return refuse(c, err)
+	}
+	s.RemoveInstance(id)
+	return c.SendStatus(http.StatusOK)
+}
+
+func refuse(c fiber.Ctx, err error) error {
+	return answerError(c, merry.Prepend(storer.ErrRefused, err.Error()))
+}
--- /dev/null
+++ b/internal/emulator/platformemulator/server.go
@@ -0,0 +1,189 @@
+// Package platformemulator is a stand-in for the platform: its key-value
+// service and its list of instances over HTTP, with faults that tests can set.
+package platformemulator
+
+import (
+	"context"
+	"io"
+	"net"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/gofiber/fiber/v3"
+	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/pool"
+	"github.com/valyala/fasthttp"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/storer"
+)
+
+// maxBodyBytes holds the largest value in base64 with what surrounds it.
+const maxBodyBytes = 2 * storer.MaxValueBytes
+
+// A Clock tells the time and waits. clockwork.Clock satisfies it.
+type Clock interface {
+	Now() time.Time
+	After(d time.Duration) <-chan time.Time
+	AfterFunc(d time.Duration, f func()) clockwork.Timer
+}
+
+// Config configures a Server.
+type Config struct {
+	Address        string         // IP number and port of the protocol and of the controls; port 0 lets the operating system choose.
+	ControlAddress string         // A second address of the controls, which an outage leaves alone; optional.
+	Memory         *storer.Memory // The state; nil starts with an empty one.
+	Clock          Clock          // Nil means the real clock.
+}
+
+// A Server is the platform's stand-in.
+type Server struct {
+	clock   Clock
+	memory  *storer.Memory
+	gate    *gate
+	control net.Listener // Nil without a control address.
+	faults  *faultBoard
+	history *instanceHistory
+	stats   counters
+	late    conc.WaitGroup // Writes that are carried out after their call was dropped.
+}
+
+// New listens on the configured addresses; Start serves them.
+func New(cfg Config) (s *Server, err error) {
+	defer func() { err = merry.Prepend(err, "platform stand-in") }()
+	if cfg.Clock == nil {
+		cfg.Clock = clockwork.NewRealClock()
+	}
+	if cfg.Memory == nil {
+		cfg.Memory = storer.NewMemory(cfg.Clock)
+	}
+	gate, err := newGate(cfg.Address)
+	if err != nil {
+		return nil, err
+	}
+	s = &Server{
+		clock:   cfg.Clock,
+		memory:  cfg.Memory,
+		gate:    gate,
+		faults:  newFaultBoard(),
+		history: newInstanceHistory(cfg.Clock),
+	}
+	if cfg.ControlAddress == "" {
+		return s, nil
+	}
+	s.control, err = net.Listen("tcp", cfg.ControlAddress) //nolint:noctx // It does not wait.
+	if err != nil {
+		_ = gate.Close()
+		return nil, merry.Wrap(err)
+	}
+	return s, nil
+}
+
+// Address is the address of the protocol.
+func (s *Server) Address() string {
+	return s.gate.Addr().String()
+}
+
+// ControlAddress is the second address of the controls, or empty.
+func (s *Server) ControlAddress() string {
+	if s.control == nil {
+		return ""
+	}
+	return s.control.Addr().String()
+}
+
+// Memory is the state, which tests may read and write past all faults.
+func (s *Server) Memory() *storer.Memory {
+	return s.memory
+}
+
+// Faults returns the faults in effect.
+func (s *Server) Faults() Faults {
+	return s.faults.current()
+}
+
+// SetFaults replaces the faults in effect.
+func (s *Server) SetFaults(f Faults) error {
+	if err := s.checkFaults(f); err != nil {
+		return err
+	}
+	s.faults.replace(f)
+	return s.gate.refuse(f.Outage == OutageRefuse)
+}
+
+// Stats returns the counters of calls.
+func (s *Server) Stats() Stats {
+	return s.stats.read()
+}
+
+// SetInstance adds an instance to the list or replaces it.
+func (s *Server) SetInstance(row storer.ListedInstance) {
+	s.memory.SetInstance(row)
+	s.recordInstances()
+}
+
+// RemoveInstance takes an instance out of the list.
+func (s *Server) RemoveInstance(id string) {
+	s.memory.RemoveInstance(id)
+	s.recordInstances()
+}
+
+// Start serves until ctx ends and then reports its end once.
+func (s *Server) Start(ctx context.Context) <-chan error {
+	ended := make(chan error, 1)
+	servers := pool.New().WithContext(ctx).WithCancelOnError()
+	servers.Go(func(ctx context.Context) error { return s.serve(ctx, s.gate, true) })
+	if s.control != nil {
+		servers.Go(func(ctx context.Context) error { return s.serve(ctx, s.control, false) })
+	}
+	go func() {
+		err := servers.Wait()
+		s.late.Wait()
+		ended <- err
+	}()
+	return ended
+}
+
+// serve answers calls on ln until ctx ends, which closes ln.
+func (s *Server) serve(ctx context.Context, ln net.Listener, protocol bool) (err error) {
+	app := fiber.New(fiber.Config{BodyLimit: maxBodyBytes, Immutable: true})
+	s.routeControls(app)
+	if protocol {
+		s.routeProtocol(ctx, app)
+	}
+	server := &fasthttp.Server{
+		Handler:               app.Handler(),
+		MaxRequestBodySize:    maxBodyBytes,
+		NoDefaultServerHeader: true,
+	}
+	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
+	defer stop()
+	err = server.Serve(ln)
+	if ctx.Err() != nil {
+		return nil
+	}
+	if err == nil {
+		err = io.ErrUnexpectedEOF
+	}
+	return merry.Prependf(err, "serve %s", ln.Addr())
+}
+
+func (s *Server) checkFaults(f Faults) error {
+	for _, rule := range f.LoseAnswers {
+		if rule.Writes < 0 || rule.ApplyAfter < 0 {
+			return merry.New("a rule for lost answers has a negative number")
+		}
+	}
+	switch f.Outage {
+	case OutageNone, OutageDrop, OutageHang, OutageRefuse:
+	default:
+		return merry.Errorf("unknown outage %q", f.Outage)
+	}
+	return nil
+}
+
+// recordInstances keeps the list for readers that see it with a lag.
+func (s *Server) recordInstances() {
+	rows, _ := s.memory.ListInstances(context.Background())
+	s.history.record(rows)
+}
--- /dev/null
+++ b/internal/storer/client.go
@@ -0,0 +1,247 @@
+package storer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/valyala/fasthttp"
+)
+
+// Defaults of ClientConfig.
+const (
+	// DefaultCallTimeout leaves room for a slow platform, which answers in
+	// milliseconds when it is well.
+	DefaultCallTimeout = 2 * time.Second
+	// DefaultWatchTimeout bounds how long a silent connection can hide a new
+	// configuration, which has to be in force within 18 s. At 350 entries it
+	// costs the platform 70 of its 2,000 reads a second.
+	DefaultWatchTimeout = 5 * time.Second
+)
+
+// maxResponseBytes holds a list of many entries.
+const maxResponseBytes = 64 << 20
+
+// ClientConfig configures a Client.
+type ClientConfig struct {
+	Address      string        // IP number and port of the platform.
+	ClientID     string        // Instance ID, sent with each call.
+	CallTimeout  time.Duration // Bound of each call; zero means DefaultCallTimeout.
+	WatchTimeout time.Duration // How long the service holds a waiting watch; zero means DefaultWatchTimeout.
+	Clock        Clock
+}
+
+// A Client speaks the platform's HTTP. Each call has a deadline. A context
+// that is cancelled ends a watch at once and another call by its deadline.
+type Client struct {
+	cfg  ClientConfig
+	host *fasthttp.HostClient
+}
+
+// A call is one exchange with the service.
+type call struct {
+	method string
+	path   string
+	key    string // The key that is read or written, if any.
+	query  url.Values
+	body   any // Encoded as JSON unless nil.
+	answer any // Decoded from JSON unless nil.
+}
+
+// A dialError is a connection that was never made, so that no byte of the call
+// was sent.
+type dialError struct{ err error }
+
+func (e *dialError) Error() string { return e.err.Error() }
+func (e *dialError) Unwrap() error { return e.err }
+
+// NewClient returns a client; it connects with the first call.
+func NewClient(cfg ClientConfig) *Client {
+	if cfg.CallTimeout == 0 {
+		cfg.CallTimeout = DefaultCallTimeout
+	}
+	if cfg.WatchTimeout == 0 {
+		cfg.WatchTimeout = DefaultWatchTimeout
+	}
+	host := &fasthttp.HostClient{
+		Addr:                      cfg.Address,
+		DialTimeout:               dial,
+		DisablePathNormalizing:    true,
+		MaxIdemponentCallAttempts: 1, // A write must not be repeated without a read back.
+		MaxResponseBodySize:       maxResponseBytes,
+	}
+	return &Client{cfg: cfg, host: host}
+}
+
+// Get returns the entry of key.
+func (c *Client) Get(ctx context.Context, key string) (entry Entry, err error) {
+	err = c.do(ctx, call{method: http.MethodGet, path: keyPath(PathKeys, key), key: key, answer: &entry})
+	return entry, merry.Prependf(err, "get %q", key)
+}
+
+// List returns the entries whose keys start with prefix, sorted by key.
+func (c *Client) List(ctx context.Context, prefix string) (entries []Entry, err error) {
+	var answer ListBody
+	query := url.Values{ParamPrefix: {prefix}}
+	err = c.do(ctx, call{method: http.MethodGet, path: PathKeys, query: query, answer: &answer})
+	return answer.Entries, merry.Prependf(err, "list %q", prefix)
+}
+
+// Put writes a key if it has the expected version.
+func (c *Client) Put(ctx context.Context, r PutRequest) (entry Entry, err error) {
+	defer func() { err = merry.Prependf(err, "put %q", r.Key) }()
+	if len(r.Value) > MaxValueBytes {
+		return Entry{}, ErrValueTooLarge
+	}
+	body := PutBody{Value: r.Value, ExpectedVersion: r.ExpectedVersion, LeaseID: r.LeaseID}
+	err = c.do(ctx, call{method: http.MethodPut, path: keyPath(PathKeys, r.Key), key: r.Key, body: body, answer: &entry})
+	return entry, err
+}
+
+// Delete removes a key if it has the expected version.
+func (c *Client) Delete(ctx context.Context, key string, expectedVersion int64) (err error) {
+	query := url.Values{ParamExpectedVersion: {strconv.FormatInt(expectedVersion, 10)}}
+	err = c.do(ctx, call{method: http.MethodDelete, path: keyPath(PathKeys, key), key: key, query: query})
+	return merry.Prependf(err, "delete %q", key)
+}
+
+// GrantLease starts a lease that ends after ttl unless it is renewed.
+func (c *Client) GrantLease(ctx context.Context, ttl time.Duration) (lease Lease, err error) {
+	return c.lease(ctx, PathLeases, newLeaseBody(0, ttl))
+}
+
+// RenewLease lets a lease run for its whole duration again. After an error
+// other than ErrLeaseExpired the lease stays good until its old expiry.
+func (c *Client) RenewLease(ctx context.Context, lease Lease) (renewed Lease, err error) {
+	return c.lease(ctx, leasePath(lease.ID)+"/renew", NewLeaseBody(lease))
+}
+
+// RevokeLease ends a lease and deletes its keys. A lease that does not exist
+// any more is no error.
+func (c *Client) RevokeLease(ctx context.Context, id int64) (err error) {
+	err = c.do(ctx, call{method: http.MethodDelete, path: leasePath(id)})
+	return merry.Prependf(err, "revoke lease %d", id)
+}
+
+// ListInstances returns the platform's lagging list of instances.
+func (c *Client) ListInstances(ctx context.Context) (rows []ListedInstance, err error) {
+	var answer InstancesBody
+	err = c.do(ctx, call{method: http.MethodGet, path: PathInstances, answer: &answer})
+	return answer.Instances, merry.Prepend(err, "list instances")
+}
+
+func (c *Client) lease(ctx context.Context, path string, body LeaseBody) (lease Lease, err error) {
+	// The service counts from when it handles the call, which is later.
+	start := c.cfg.Clock.Now()
+	var answer LeaseBody
+	err = c.do(ctx, call{method: http.MethodPost, path: path, body: body, answer: &answer})
+	if err != nil {
+		return Lease{}, merry.Prependf(err, "lease of %s", body.TTL())
+	}
+	return Lease{ID: answer.ID, TTL: answer.TTL(), ExpiresAt: start.Add(answer.TTL())}, nil
+}
+
+// do carries out a call and returns a typed error.
+func (c *Client) do(ctx context.Context, call call) (err error) {
+	timeout, err := c.timeout(ctx)
+	if err != nil {
+		return err
+	}
+	r := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(r)
+	w := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(w)
+	if err := c.fill(r, call); err != nil {
+		return err
+	}
+
+	r.SetTimeout(timeout)
+	if err := c.host.Do(r, w); err != nil {
+		// Other idle connections may be silent for the same reason.
+		c.host.CloseIdleConnections()
+		return call.lost(err)
+	}
+	return call.decode(w)
+}
+
+// timeout returns the time that a call may take.
+func (c *Client) timeout(ctx context.Context) (timeout time.Duration, err error) {
+	timeout = c.cfg.CallTimeout
+	if deadline, ok := ctx.Deadline(); ok {
+		timeout = min(timeout, time.Until(deadline))
+	}
+	if ctx.Err() != nil {
+		return 0, merry.Wrap(ErrUnavailable, merry.WithCause(ctx.Err()))
+	}
+	if timeout <= 0 {
+		return 0, merry.Wrap(ErrUnavailable, merry.WithCause(context.DeadlineExceeded))
+	}
+	return timeout, nil
+}
+
+// fill writes the call into an HTTP request.
+func (c *Client) fill(r *fasthttp.Request, call call) error {
+	r.Header.SetMethod(call.method)
+	r.Header.Set(ClientHeader, c.cfg.ClientID)
+	r.SetRequestURI("http://" + c.cfg.Address + call.path + "?" + call.query.Encode())
+	r.URI().DisablePathNormalizing = true
+	if call.body == nil {
+		return nil
+	}
+	body, err := json.Marshal(call.body)
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	r.Header.SetContentType("application/json")
+	r.SetBodyRaw(body)
+	return nil
+}
+
+// lost returns the typed error of a call without an answer.
+func (call call) lost(err error) error {
+	var undialled *dialError
+	switch {
+	case errors.As(err, &undialled), errors.Is(err, fasthttp.ErrNoFreeConns), !call.writes():
+		return merry.Wrap(ErrUnavailable, merry.WithCause(err))
+	}
+	return merry.Wrap(ErrUnknownEffect, merry.WithCause(err))
+}
+
+// decode reads the answer of a call.
+func (call call) decode(w *fasthttp.Response) error {
+	status := w.StatusCode()
+	if status == http.StatusOK {
+		if call.answer == nil {
+			return nil
+		}
+		if err := json.Unmarshal(w.Body(), call.answer); err != nil {
+			return call.lost(err)
+		}
+		return nil
+	}
+	var body ErrorBody
+	if err := json.Unmarshal(w.Body(), &body); err == nil {
+		if err := decodeError(status, body, call.key); err != nil {
+			return err
+		}
+	}
+	// Something on the way may have answered after the write took effect.
+	return call.lost(merry.Errorf("unexpected status %d", status))
+}
+
+func (call call) writes() bool {
+	return call.method != http.MethodGet
+}
+
+func keyPath(base, key string) string {
+	return base + "/" + url.PathEscape(key)
+}
+
+func leasePath(id int64) string {
+	return PathLeases + "/" + strconv.FormatInt(id, 10)
+}
--- /dev/null
+++ b/internal/storer/protocol.go
@@ -0,0 +1,122 @@
+package storer
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// Paths of the platform's HTTP. A key is one escaped path element.
+const (
+	PathInstances = "/v1/instances"
+	PathKeys      = "/v1/keys"
+	PathLeases    = "/v1/leases"
+	PathWatch     = "/v1/watch"
+)
+
+// Query parameters of the platform's HTTP.
+const (
+	ParamAfterVersion    = "after-version"
+	ParamExpectedVersion = "expected-version"
+	ParamPrefix          = "prefix"
+	ParamTimeout         = "timeout" // A Go duration; the service answers 204 when it is over.
+)
+
+// ClientHeader names the calling instance.
+const ClientHeader = "X-Client-Id"
+
+// A PutBody is the body of PUT /v1/keys/<key>.
+type PutBody struct {
+	Value           []byte `json:"value"`
+	ExpectedVersion int64  `json:"expected-version"`
+	LeaseID         int64  `json:"lease-id,omitempty"`
+}
+
+// A ListBody answers GET /v1/keys?prefix=.
+type ListBody struct {
+	Entries []Entry `json:"entries"`
+}
+
+// A LeaseBody is the body of POST /v1/leases, where the ID is absent, and the
+// answer to grants and renewals.
+type LeaseBody struct {
+	ID        int64 `json:"id,omitempty"`
+	TTLMillis int64 `json:"ttl-ms"`
+}
+
+// An InstancesBody answers GET /v1/instances.
+type InstancesBody struct {
+	Instances []ListedInstance `json:"instances"`
+}
+
+// An ErrorBody describes a refused call.
+type ErrorBody struct {
+	Code    string `json:"code"`
+	Message string `json:"message"`
+	Present *Entry `json:"present,omitempty"` // The present entry after a version conflict; absent when the key is.
+}
+
+// An errorForm is the HTTP form of a typed error.
+type errorForm struct {
+	err    error
+	code   string
+	status int
+}
+
+var errorForms = []errorForm{
+	{err: ErrConflict, code: "version-conflict", status: http.StatusConflict},
+	{err: ErrLeaseExpired, code: "lease-expired", status: http.StatusGone},
+	{err: ErrNotFound, code: "not-found", status: http.StatusNotFound},
+	{err: ErrValueTooLarge, code: "value-too-large", status: http.StatusRequestEntityTooLarge},
+	{err: ErrRefused, code: "refused", status: http.StatusBadRequest},
+}
+
+// EncodeError returns the HTTP form of an error of the store.
+func EncodeError(err error) (status int, body ErrorBody) {
+	body = ErrorBody{Code: "internal", Message: err.Error()}
+	status = http.StatusInternalServerError
+	for _, form := range errorForms {
+		if errors.Is(err, form.err) {
+			body.Code = form.code
+			status = form.status
+			break
+		}
+	}
+	var conflict *ConflictError
+	if errors.As(err, &conflict) {
+		body.Present = conflict.Present
+	}
+	return status, body
+}
+
+// decodeError returns the typed error of a refusal, or nil when the answer is
+// none that the service gives.
+func decodeError(status int, body ErrorBody, key string) error {
+	for _, form := range errorForms {
+		if body.Code != form.code || status != form.status {
+			continue
+		}
+		if errors.Is(form.err, ErrConflict) {
+			return &ConflictError{Key: key, Present: body.Present}
+		}
+		return merry.Append(form.err, body.Message)
+	}
+	return nil
+}
+
+// newLeaseBody returns the wire form of a duration.
+func newLeaseBody(id int64, ttl time.Duration) LeaseBody {
+	return LeaseBody{ID: id, TTLMillis: ttl.Milliseconds()}
+}
+
+// NewLeaseBody returns the wire form of a lease.
+func NewLeaseBody(lease Lease) LeaseBody {
+	return newLeaseBody(lease.ID, lease.TTL)
+}
+
+// TTL is the duration of the lease.
+func (b LeaseBody) TTL() time.Duration {
+	return time.Duration(b.TTLMillis) * time.Millisecond
+}
