feat: settings of an entry process

An entry that starts with a wrong address, a short pepper or a deadline in the wrong unit fails later and in a worse place. The settings file is therefore read as strictly as release notes are, with all faults at once, and every default stands at its field. Addresses are IP numbers, since entries have no name service. The pepper has a type that no log format prints.

--- /dev/null
+++ b/internal/configurer/configurer.go
@@ -0,0 +1,165 @@
+// Package configurer reads the settings file of an entry process.
+package configurer
+
+import (
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/quetzalhitch/quetzalhitch/pkg/declarer"
+)
+
+// Settings are what an entry process knows before it meets the platform or a
+// peer.
+type Settings struct {
+	InstanceID         string            `toml:"instance-id"`          // Required; unique in the deployment and kept over restarts.
+	FailureDomain      string            `toml:"failure-domain"`       // Required.
+	Region             string            `toml:"region"`               // Required.
+	HTTPAddress        string            `toml:"http-address"`         // Required; IP number and port for callers.
+	LinkAddress        string            `toml:"link-address"`         // Required; IP number and UDP port for other entries.
+	OperatorAddress    string            `toml:"operator-address"`     // Optional; empty serves operators on HTTPAddress.
+	PlatformAddress    string            `toml:"platform-address"`     // Required; IP number and port.
+	DataFolder         string            `toml:"data-folder"`          // Optional; empty means that the instance has no disk.
+	KeyPepper          Secret            `toml:"key-pepper"`           // Required; at least 16 bytes, the same in the whole deployment.
+	OperatorKeyDigests []string          `toml:"operator-key-digests"` // Required; hexadecimal HMAC-SHA-256 under the pepper.
+	DrainDelay         declarer.Duration `toml:"drain-delay"`          // Time that the balancer gets to notice a leaving instance; 5s by default.
+	Seeds              []Seed            `toml:"seed"`                 // Entries to link to before the platform's list is known.
+	TLS                TLS               `toml:"tls"`
+	Log                Log               `toml:"log"`
+	Deadlines          Deadlines         `toml:"deadlines"`
+}
+
+// A Seed is an entry that is known from the start. The list may name the
+// instance itself, so that all instances can share it.
+type Seed struct {
+	ID            string `toml:"id"`
+	Address       string `toml:"address"` // IP number and UDP port of its links.
+	FailureDomain string `toml:"failure-domain"`
+}
+
+// TLS names the files for links between entries, relative to the folder of the
+// settings file.
+type TLS struct {
+	CertificateFile string `toml:"certificate-file"` // Required; PEM.
+	KeyFile         string `toml:"key-file"`         // Required; PEM.
+	CAFile          string `toml:"ca-file"`          // Required; PEM of the authority that signs all entries' certificates.
+}
+
+// Log says what is logged and how.
+type Log struct {
+	Level  string `toml:"level"`  // One of "debug", "error", "info" and "warning"; "info" by default.
+	Format string `toml:"format"` // One of "json" and "text"; "text" by default.
+}
+
+// Deadlines bound every wait on another process.
+type Deadlines struct {
+	Connect       declarer.Duration `toml:"connect"`        // A new connection to a backend server; 1s by default.
+	FirstByte     declarer.Duration `toml:"first-byte"`     // The first byte of an answer on a route without a deadline; 30s by default.
+	BetweenBytes  declarer.Duration `toml:"between-bytes"`  // Two parts of a stream on a route without a deadline; 10s by default.
+	LinkCall      declarer.Duration `toml:"link-call"`      // An exchange with another entry; 1s by default.
+	PlatformCall  declarer.Duration `toml:"platform-call"`  // A call to the platform; 2s by default.
+	PlatformWatch declarer.Duration `toml:"platform-watch"` // One round of a waiting watch; 5s by default, which bounds how long a silent connection hides a new configuration.
+	Drain         declarer.Duration `toml:"drain"`          // The streams that run on when the instance leaves; 5m by default.
+}
+
+// A Secret is a string that is not printed.
+type Secret string
+
+// hiddenSecret stands for a secret in logs.
+const hiddenSecret = "(hidden)"
+
+// String implements fmt.Stringer without the secret.
+func (Secret) String() string {
+	return hiddenSecret
+}
+
+// GoString implements fmt.GoStringer without the secret.
+func (Secret) GoString() string {
+	return hiddenSecret
+}
+
+// MarshalText implements encoding.TextMarshaler without the secret.
+func (Secret) MarshalText() ([]byte, error) {
+	return []byte(hiddenSecret), nil
+}
+
+// Defaults returns settings with the documented defaults.
+func Defaults() Settings {
+	return Settings{
+		DrainDelay: declarer.Duration(5 * time.Second),
+		Log:        Log{Level: "info", Format: "text"},
+		Deadlines: Deadlines{
+			Connect:       declarer.Duration(time.Second),
+			FirstByte:     declarer.Duration(30 * time.Second),
+			BetweenBytes:  declarer.Duration(10 * time.Second),
+			LinkCall:      declarer.Duration(time.Second),
+			PlatformCall:  declarer.Duration(2 * time.Second),
+			PlatformWatch: declarer.Duration(5 * time.Second),
+			Drain:         declarer.Duration(5 * time.Minute),
+		},
+	}
+}
+
+// Load reads a settings file. Its faults come as a declarer.FaultsError, all
+// at once.
+func Load(file string) (s Settings, err error) {
+	defer func() { err = merry.Prepend(err, "settings") }()
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, merry.Wrap(err)
+	}
+	s, faults := Parse(file, data)
+	if len(faults) > 0 {
+		return Settings{}, &declarer.FaultsError{Faults: faults}
+	}
+	return s, nil
+}
+
+// Parse reads settings and reports all their faults. Relative paths count from
+// the folder of file.
+func Parse(file string, data []byte) (s Settings, faults []declarer.Fault) {
+	s = Defaults()
+	faults, readable := declarer.DecodeTOML(file, data, &s)
+	if !readable {
+		return Settings{}, faults
+	}
+	faults = merge(faults, Validate(file, s))
+	s.resolve(filepath.Dir(file))
+	return s, faults
+}
+
+// Peers returns the seeds other than the instance itself.
+func (s Settings) Peers() (peers []Seed) {
+	for _, seed := range s.Seeds {
+		if seed.ID != s.InstanceID {
+			peers = append(peers, seed)
+		}
+	}
+	return peers
+}
+
+// resolve makes paths independent of the working folder.
+func (s *Settings) resolve(folder string) {
+	for _, path := range []*string{&s.DataFolder, &s.TLS.CertificateFile, &s.TLS.KeyFile, &s.TLS.CAFile} {
+		if *path != "" && !filepath.IsAbs(*path) {
+			*path = filepath.Join(folder, *path)
+		}
+	}
+}
+
+// merge adds the faults of values to those of reading. A key whose value was
+// not read has one fault only.
+func merge(reading, values []declarer.Fault) []declarer.Fault {
+	unread := map[string]bool{}
+	for _, fault := range reading {
+		unread[fault.Key] = true
+	}
+	for _, fault := range values {
+		if !unread[fault.Key] {
+			reading = append(reading, fault)
+		}
+	}
+	return declarer.SortFaults(reading)
+}
