--- /dev/null
+++ b/internal/reporter/logger_test.go
@@ -0,0 +1,61 @@
+package reporter
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
+)
+
+// Guards against secrets that reach a log because a call names them as a
+// field, in either format and through derived entries.
+func TestLoggerDropsSecretFields(t *testing.T) {
+	const secret = "wk-secret-value"
+	for _, format := range []LogFormat{FormatJSON, FormatText} {
+		for _, field := range []string{"key", "Authorization", "DIGEST", "prompt"} {
+			t.Run(string(format)+"/"+field, func(t *testing.T) {
+				var out bytes.Buffer
+				logger, err := NewLogger(LogConfig{Format: format}, &out)
+				assert.NilError(t, err)
+
+				entry := logger.WithField(field, secret).WithField(FieldWorkspace, "ljepilo")
+				entry.Info("request admitted")
+
+				assert.Assert(t, !strings.Contains(out.String(), secret), out.String())
+				assert.Assert(t, cmp.Contains(out.String(), "ljepilo"))
+				assert.Equal(t, entry.Data[field], secret, "the hook changed the caller's entry")
+			})
+		}
+	}
+}
+
+// Guards against lines that a reader of JSON logs cannot take apart.
+func TestLoggerWritesJSON(t *testing.T) {
+	var out bytes.Buffer
+	logger, err := NewLogger(LogConfig{}, &out)
+	assert.NilError(t, err)
+
+	logger.Debug("below the level")
+	logger.WithField(FieldBackendServer, "lm-desk-3").Warn("server chosen")
+
+	var line map[string]any
+	assert.NilError(t, json.Unmarshal(out.Bytes(), &line))
+	assert.Equal(t, line["message"], "server chosen")
+	assert.Equal(t, line["level"], "warning")
+	assert.Equal(t, line["backend-server"], "lm-desk-3")
+}
+
+// Guards against a typing error in the settings that silences the log.
+func TestLoggerRefusesUnknownSettings(t *testing.T) {
+	for _, cfg := range []LogConfig{{Format: "xml"}, {Level: "loud"}} {
+		_, err := NewLogger(cfg, &bytes.Buffer{})
+		assert.ErrorContains(t, err, "set up the log")
+	}
+	logger, err := NewLogger(LogConfig{Level: "debug"}, &bytes.Buffer{})
+	assert.NilError(t, err)
+	assert.Equal(t, logger.GetLevel(), logrus.DebugLevel)
+}
