--- /dev/null
+++ b/cmd/emulator/main.go
@@ -0,0 +1,113 @@
+// Command emulator runs one stand-in for the surroundings of the system: the
+// platform, a model engine or a plain service. Tests and measurements start
+// it as a process.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+	"github.com/ansel1/merry/v2"
+)
+
+// Exit codes of the command.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+// args are the command line arguments, a subcommand for each stand-in.
+type args struct {
+	Engine   *engineCmd   `arg:"subcommand:engine"   help:"run a model engine"`
+	Platform *platformCmd `arg:"subcommand:platform" help:"run the platform"`
+	Service  *serviceCmd  `arg:"subcommand:service"  help:"run a plain service"`
+}
+
+// A server is a stand-in that listens on an address.
+type server interface {
+	// Start listens and returns at once. The channel receives the end exactly
+	// once, after ctx has ended or the server has failed.
+	Start(ctx context.Context) (address string, done <-chan error, err error)
+}
+
+// A stand is a subcommand with its parsed arguments.
+type stand interface {
+	server() server
+}
+
+// A report is the line on stdout that tells whoever started the process where
+// it listens.
+type report struct {
+	Listening listening `json:"listening"`
+}
+
+// listening holds the addresses of a process.
+type listening struct {
+	HTTP string `json:"http"`
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
+
+// run parses arguments, runs the chosen stand-in until ctx ends and returns
+// the exit code.
+func run(ctx context.Context, arguments []string, stdout, stderr io.Writer) int {
+	var parsed args
+	parser, err := arg.NewParser(arg.Config{Program: "emulator", Out: stderr}, &parsed)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitUsage
+	}
+
+	switch err := parser.Parse(arguments); {
+	case errors.Is(err, arg.ErrHelp):
+		_ = parser.WriteHelpForSubcommand(stdout, parser.SubcommandNames()...)
+		return exitOK
+	case err != nil:
+		_ = parser.WriteUsageForSubcommand(stderr, parser.SubcommandNames()...)
+		fmt.Fprintln(stderr, "error:", err)
+		return exitUsage
+	}
+
+	cmd, ok := parser.Subcommand().(stand)
+	if !ok {
+		parser.WriteHelp(stderr)
+		return exitUsage
+	}
+	if err := serve(ctx, cmd, stdout); err != nil {
+		fmt.Fprintln(stderr, "error:", err)
+		return exitFailure
+	}
+	return exitOK
+}
+
+// serve starts the stand-in, reports its address and waits for its end.
+func serve(ctx context.Context, cmd stand, stdout io.Writer) (err error) {
+	defer func() {
+		if err != nil {
+			err = merry.Prepend(err, "serve")
+		}
+	}()
+
+	address, done, err := cmd.server().Start(ctx)
+	if err != nil {
+		return err
+	}
+	line := report{Listening: listening{HTTP: address}}
+	if err := json.NewEncoder(stdout).Encode(line); err != nil {
+		return err
+	}
+	return <-done
+}
