feat: process harness with fault relays

Integration tests need real processes, partitions between failure domains and processes that freeze, die and come back, without anything left on the machine afterwards.

UDP has a relay of its own with a seeded drop rate.

All entries know a backend server by one declared address, so a relay there cannot tell failure domains apart. A source router finds the connecting process through /proc and leads it to the relay of its failure domain. Ruled out: an address of its own for each failure domain (the declaration is the same everywhere) and a setting for source addresses (the product would change for the tests).

Ports stay reserved by a bound socket that does not listen.

--- a/cmd/emulator/engine.go
+++ b/cmd/emulator/engine.go
@@ -1,6 +1,6 @@
 package main
 
-// A engineCmd runs a model engine.
+// An engineCmd runs a model engine.
 type engineCmd struct {
 	Address string `arg:"--address" default:"127.0.0.1:0" help:"address to listen on"`
 }
--- /dev/null
+++ b/internal/tester/backendserver.go
@@ -0,0 +1,131 @@
+package tester
+
+import (
+	"context"
+	"net/netip"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/quetzalhitch/quetzalhitch/pkg/declarer"
+)
+
+// BackendServerConfig says what a backend server is declared as and how its
+// stand-in is started.
+type BackendServerConfig struct {
+	declarer.BackendServer          // The address is set by the deployment.
+	Arguments              []string // Further arguments of the stand-in.
+}
+
+// A BackendServerProcess is a model engine or a plain service of a deployment.
+type BackendServerProcess struct {
+	declarer.BackendServer // The address is the declared one.
+	member
+
+	deployment *Deployment
+	router     *SourceRouter        // Nil when entries reach the server directly.
+	port       *ReservedPort        // Nil unless entries reach the server directly.
+	relays     map[string]*TCPRelay // By the failure domain of the entry; empty without router.
+}
+
+func newBackendServerProcess(d *Deployment, cfg BackendServerConfig) (b *BackendServerProcess, err error) {
+	defer func() {
+		if err != nil {
+			err = merry.Prependf(err, "prepare backend server %s", cfg.Name)
+		}
+	}()
+
+	b = &BackendServerProcess{
+		BackendServer: cfg.BackendServer,
+		deployment:    d,
+		relays:        make(map[string]*TCPRelay),
+	}
+	b.command = Command{
+		Name:        cfg.Name,
+		Path:        d.cfg.Binaries.Emulator,
+		Arguments:   append([]string{string(cfg.Kind)}, cfg.Arguments...),
+		Environment: d.cfg.Environment,
+		Folder:      d.cfg.Folder,
+	}
+	if d.cfg.DirectBackendServers {
+		return b, b.openDirect()
+	}
+	return b, b.openRelays()
+}
+
+// openDirect fixes the port of the server, so that it keeps its declared
+// address over restarts.
+func (b *BackendServerProcess) openDirect() (err error) {
+	if b.port, err = ReservePort(); err != nil {
+		return err
+	}
+	b.Address = b.port.Address
+	b.command.Arguments = append(b.command.Arguments, "--address", b.port.Address)
+	return nil
+}
+
+// openRelays opens the declared address and a relay for each failure domain.
+func (b *BackendServerProcess) openRelays() (err error) {
+	if b.router, err = NewSourceRouter(b.Name, b); err != nil {
+		return err
+	}
+	b.Address = b.router.Address
+	b.command.OnEnd = b.refuse
+	b.onListening = b.setTargets
+	for _, domain := range b.deployment.FailureDomains {
+		r, err := b.deployment.openTCPRelay(domain.Name+"-to-"+b.Name, domain.Name, b.FailureDomain)
+		if err != nil {
+			return err
+		}
+		b.relays[domain.Name] = r
+	}
+	return nil
+}
+
+// Relay returns the relay on the way from a failure domain to the server, nil
+// when there is none.
+func (b *BackendServerProcess) Relay(failureDomain string) *TCPRelay {
+	return b.relays[failureDomain]
+}
+
+// ChooseRelay implements relayChooser. Connections that come from no entry,
+// such as those of a test, reach the server directly.
+func (b *BackendServerProcess) ChooseRelay(client, server netip.AddrPort) (address string, err error) {
+	inode, err := socketInode(client, server)
+	if err != nil {
+		return "", err
+	}
+	for _, e := range b.deployment.Entries {
+		if p := e.Process(); p != nil && ownsSocket(p.PID, inode) {
+			return b.relays[e.FailureDomain].Address, nil
+		}
+	}
+	return b.Addresses().HTTP, nil
+}
+
+// setTargets leads the relays to a new run and opens the declared address.
+func (b *BackendServerProcess) setTargets(a Addresses) error {
+	for _, r := range b.relays {
+		if err := r.SetTarget(a.HTTP); err != nil {
+			return merry.Prependf(err, "lead a relay to backend server %s", b.Name)
+		}
+	}
+	return b.router.Accept(context.Background())
+}
+
+// refuse lets entries see that nobody listens.
+func (b *BackendServerProcess) refuse() {
+	b.router.Refuse()
+	for _, r := range b.relays {
+		r.Refuse()
+	}
+}
+
+func (b *BackendServerProcess) close() {
+	b.member.close()
+	if b.router != nil {
+		b.router.Close()
+	}
+	if b.port != nil {
+		b.port.Release()
+	}
+}
--- /dev/null
+++ b/internal/tester/entry.go
@@ -0,0 +1,97 @@
+package tester
+
+import (
+	"path/filepath"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// anyPort lets the operating system choose the port of a process.
+const anyPort = "127.0.0.1:0"
+
+// EntryConfig says which entry a deployment has.
+type EntryConfig struct {
+	ID            string
+	FailureDomain string
+	Disk          bool // It has a data folder.
+}
+
+// An EntryProcess is an entry of a deployment.
+type EntryProcess struct {
+	EntryConfig
+	member
+
+	PlatformRelay *TCPRelay
+	Settings      Settings // Rewritten at each start.
+
+	settingsPath string
+	incoming     []*UDPRelay // Relays through which peers reach the entry.
+}
+
+func newEntryProcess(d *Deployment, cfg EntryConfig) (e *EntryProcess, err error) {
+	defer func() {
+		if err != nil {
+			err = merry.Prependf(err, "prepare entry %s", cfg.ID)
+		}
+	}()
+
+	domain := d.FailureDomain(cfg.FailureDomain)
+	if domain == nil {
+		return nil, merry.Errorf("no failure domain %q", cfg.FailureDomain)
+	}
+	certificate, err := d.Authority.Issue(cfg.ID)
+	if err != nil {
+		return nil, err
+	}
+	e = &EntryProcess{
+		EntryConfig:  cfg,
+		settingsPath: filepath.Join(d.cfg.Folder, cfg.ID+".toml"),
+	}
+	if e.PlatformRelay, err = NewTCPRelay(cfg.ID+"-to-platform", ""); err != nil {
+		return nil, err
+	}
+	d.tcpRelays = append(d.tcpRelays, e.PlatformRelay)
+	e.Settings = d.entrySettings(cfg, domain, certificate)
+	e.Settings.PlatformAddress = e.PlatformRelay.Address
+	e.command = Command{
+		Name:        cfg.ID,
+		Path:        d.cfg.Binaries.Entry,
+		Arguments:   entryArguments(e.settingsPath),
+		Environment: d.cfg.Environment,
+		Folder:      d.cfg.Folder,
+	}
+	e.onListening = e.setTargets
+	return e, nil
+}
+
+// entrySettings returns the settings without addresses of relays.
+func (d *Deployment) entrySettings(cfg EntryConfig, domain *FailureDomain, c Certificate) Settings {
+	s := Settings{
+		InstanceID:         cfg.ID,
+		FailureDomain:      cfg.FailureDomain,
+		Region:             domain.Region,
+		HTTPAddress:        anyPort,
+		LinkAddress:        anyPort,
+		KeyPepper:          d.KeyPepper,
+		OperatorKeyDigests: []string{KeyDigest(d.KeyPepper, d.OperatorKey)},
+		DrainDelay:         durationText(d.cfg.DrainDelay),
+		TLS:                TLSSettings(c),
+	}
+	if cfg.Disk {
+		s.DataFolder = filepath.Join(d.cfg.Folder, cfg.ID+"-data")
+	}
+	if d.cfg.Baseline != "" {
+		s.Experimental = &ExperimentalSettings{Baseline: d.cfg.Baseline}
+	}
+	return s
+}
+
+// setTargets leads the relays of peers to a new run.
+func (e *EntryProcess) setTargets(a Addresses) error {
+	for _, r := range e.incoming {
+		if err := r.SetTarget(a.Link); err != nil {
+			return merry.Prependf(err, "lead a relay to entry %s", e.ID)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/tester/port.go
@@ -0,0 +1,66 @@
+package tester
+
+import (
+	"net/netip"
+	"sync"
+	"syscall"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// loopback is the address that every process listens on.
+var loopback = netip.AddrFrom4([4]byte{127, 0, 0, 1})
+
+// A ReservedPort is a TCP port on the loopback address that stays out of use
+// by others while nobody listens on it. A socket that is bound and does not
+// listen holds the port; listeners with SO_REUSEADDR, which Go sets, may come
+// and go beside it. While there is none, connections are refused. Closing a
+// listener and opening it again would otherwise race with the operating
+// system's choice of ports for others.
+type ReservedPort struct {
+	Address string
+
+	descriptor int
+	release    sync.Once
+}
+
+// ReservePort lets the operating system choose a port and reserves it.
+func ReservePort() (p *ReservedPort, err error) {
+	defer func() {
+		if err != nil {
+			err = merry.Prepend(err, "reserve a port")
+		}
+	}()
+
+	descriptor, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, err
+	}
+	p = &ReservedPort{descriptor: descriptor}
+	defer func() {
+		if err != nil {
+			p.Release()
+		}
+	}()
+	if err = syscall.SetsockoptInt(descriptor, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
+		return nil, err
+	}
+	if err = syscall.Bind(descriptor, &syscall.SockaddrInet4{Addr: loopback.As4()}); err != nil {
+		return nil, err
+	}
+	name, err := syscall.Getsockname(descriptor)
+	if err != nil {
+		return nil, err
+	}
+	bound, ok := name.(*syscall.SockaddrInet4)
+	if !ok {
+		return nil, merry.Errorf("unexpected socket address %T", name)
+	}
+	p.Address = netip.AddrPortFrom(loopback, uint16(bound.Port)).String() //nolint:gosec // A port.
+	return p, nil
+}
+
+// Release gives the port back to the operating system.
+func (p *ReservedPort) Release() {
+	p.release.Do(func() { _ = syscall.Close(p.descriptor) })
+}
--- /dev/null
+++ b/internal/tester/proc.go
@@ -0,0 +1,89 @@
+package tester
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// stateStopped is the state of a process after SIGSTOP in /proc/<pid>/stat.
+const stateStopped = 'T'
+
+// Columns of /proc/net/tcp.
+const (
+	columnLocal  = 1
+	columnRemote = 2
+	columnInode  = 9
+)
+
+// processState returns the state letter of a process, zero when it is gone.
+func processState(pid int) byte {
+	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0
+	}
+	// The command name is in parentheses and may hold spaces.
+	_, rest, found := bytes.Cut(content[bytes.LastIndexByte(content, ')')+1:], []byte(" "))
+	if !found || len(rest) == 0 {
+		return 0
+	}
+	return rest[0]
+}
+
+// socketInode returns the inode of the local socket with the given ends.
+func socketInode(local, remote netip.AddrPort) (inode string, err error) {
+	defer func() {
+		if err != nil {
+			err = merry.Prependf(err, "find the socket from %s to %s", local, remote)
+		}
+	}()
+
+	file, err := os.Open("/proc/net/tcp")
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = file.Close() }()
+
+	localText, remoteText := procAddress(local), procAddress(remote)
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		columns := strings.Fields(lines.Text())
+		if len(columns) > columnInode && columns[columnLocal] == localText && columns[columnRemote] == remoteText {
+			return columns[columnInode], nil
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return "", err
+	}
+	return "", merry.New("no such socket")
+}
+
+// procAddress writes an IPv4 address as /proc/net/tcp does: the bytes of the
+// address in the order of the machine, here little-endian.
+func procAddress(a netip.AddrPort) string {
+	ip := a.Addr().Unmap().As4()
+	return fmt.Sprintf("%08X:%04X", binary.LittleEndian.Uint32(ip[:]), a.Port())
+}
+
+// ownsSocket says whether a process has a socket open.
+func ownsSocket(pid int, inode string) bool {
+	folder := fmt.Sprintf("/proc/%d/fd", pid)
+	files, err := os.ReadDir(folder)
+	if err != nil {
+		return false
+	}
+	wanted := "socket:[" + inode + "]"
+	for _, file := range files {
+		if target, err := os.Readlink(filepath.Join(folder, file.Name())); err == nil && target == wanted {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/tester/udprelay_test.go
@@ -0,0 +1,169 @@
+package tester
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// startUDPEcho starts a UDP server that sends each datagram back with a
+// prefix.
+func startUDPEcho(t *testing.T, prefix string) (address string) {
+	t.Helper()
+	conn, err := net.ListenPacket("udp4", anyPort)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	go func() {
+		buffer := make([]byte, maxDatagramBytes)
+		for {
+			n, from, err := conn.ReadFrom(buffer)
+			if err != nil {
+				return
+			}
+			_, _ = conn.WriteTo(append([]byte(prefix), buffer[:n]...), from)
+		}
+	}()
+	return conn.LocalAddr().String()
+}
+
+func newUDPEchoRelay(t *testing.T, seed uint64) (r *UDPRelay, client net.Conn) {
+	t.Helper()
+	r, err := NewUDPRelay(t.Context(), t.Name(), seed)
+	assert.NilError(t, err)
+	t.Cleanup(r.Close)
+	assert.NilError(t, r.SetTarget(startUDPEcho(t, "")))
+	return r, dialUDP(t, r.Address)
+}
+
+func dialUDP(t *testing.T, address string) net.Conn {
+	t.Helper()
+	client, err := net.Dial("udp4", address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = client.Close() })
+	return client
+}
+
+// exchange sends a datagram and waits for the answer to it.
+func exchange(client net.Conn, text string, limit time.Duration) (answer string, err error) {
+	if _, err := client.Write([]byte(text)); err != nil {
+		return "", err
+	}
+	if err := client.SetReadDeadline(time.Now().Add(limit)); err != nil {
+		return "", err
+	}
+	buffer := make([]byte, maxDatagramBytes)
+	n, err := client.Read(buffer)
+	return string(buffer[:n]), err
+}
+
+func assertExchange(t *testing.T, client net.Conn, text, want string) {
+	t.Helper()
+	answer, err := exchange(client, text, testLimit)
+	assert.NilError(t, err)
+	assert.Equal(t, answer, want)
+}
+
+// Guards against a cut that lets datagrams through, keeps them for later, or
+// does not heal.
+func TestUDPCutAndHeal(t *testing.T) {
+	for _, d := range []Direction{ToTarget, FromTarget} {
+		t.Run(d.stream(), func(t *testing.T) {
+			r, client := newUDPEchoRelay(t, 1)
+			assertExchange(t, client, "before", "before")
+			r.Cut(d)
+			_, err := exchange(client, "lost", answerLimit)
+			assert.ErrorContains(t, err, "timeout")
+			r.Heal()
+			assertExchange(t, client, "after", "after")
+		})
+	}
+}
+
+// Guards against a one-way cut that also stops the other way.
+func TestUDPOneWayCut(t *testing.T) {
+	target, err := net.ListenPacket("udp4", anyPort)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = target.Close() })
+	r, err := NewUDPRelay(t.Context(), "one-way", 1)
+	assert.NilError(t, err)
+	t.Cleanup(r.Close)
+	assert.NilError(t, r.SetTarget(target.LocalAddr().String()))
+
+	r.Cut(FromTarget)
+	_, err = exchange(dialUDP(t, r.Address), "passes", answerLimit)
+	assert.ErrorContains(t, err, "timeout")
+	buffer := make([]byte, maxDatagramBytes)
+	assert.NilError(t, target.SetReadDeadline(time.Now().Add(testLimit)))
+	n, _, err := target.ReadFrom(buffer)
+	assert.NilError(t, err)
+	assert.Equal(t, string(buffer[:n]), "passes")
+}
+
+// Guards against a delay that reorders datagrams or is not applied.
+func TestUDPDelay(t *testing.T) {
+	const delay = 30 * time.Millisecond
+	const count = 50
+	r, client := newUDPEchoRelay(t, 1)
+	r.SetFaults(ToTarget, DatagramFaults{Delay: delay})
+	start := time.Now()
+	for i := range count {
+		_, err := fmt.Fprint(client, i)
+		assert.NilError(t, err)
+	}
+	assert.NilError(t, client.SetReadDeadline(time.Now().Add(testLimit)))
+	for i := range count {
+		assertReads(t, client, fmt.Sprint(i))
+	}
+	assert.Assert(t, time.Since(start) >= delay)
+}
+
+// Guards against a failure that a second run with the same seed cannot show
+// again.
+func TestUDPDropIsSeeded(t *testing.T) {
+	const count = 400
+	passed := func(seed uint64) (set string) {
+		r, _ := newUDPEchoRelay(t, seed)
+		r.SetFaults(ToTarget, DatagramFaults{DropRate: 0.25})
+		for range count {
+			_, lost := r.decide(ToTarget)
+			set += map[bool]string{true: "-", false: "x"}[lost]
+		}
+		return set
+	}
+	first, again, other := passed(7), passed(7), passed(8)
+	assert.Equal(t, first, again)
+	assert.Assert(t, first != other)
+
+	lost := 0
+	for _, letter := range first {
+		if letter == '-' {
+			lost++
+		}
+	}
+	assert.Assert(t, lost > count/8 && lost < count/2, "lost %d of %d", lost, count)
+}
+
+// Guards against a relay that keeps leading to the former address of a
+// restarted entry, and against one that outlives its context.
+func TestUDPTargetChanges(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	r, err := NewUDPRelay(ctx, "restarted", 1)
+	assert.NilError(t, err)
+	t.Cleanup(r.Close)
+	client := dialUDP(t, r.Address)
+	_, err = exchange(client, "nobody there", answerLimit)
+	assert.ErrorContains(t, err, "timeout")
+
+	assert.NilError(t, r.SetTarget(startUDPEcho(t, "first ")))
+	assertExchange(t, client, "x", "first x")
+	assert.NilError(t, r.SetTarget(startUDPEcho(t, "second ")))
+	assertExchange(t, client, "x", "second x")
+
+	cancel()
+	r.workers.Wait()
+}
