feat: fleet, routing, retry and key decisions

The online path needs its decisions before its adapters, so that they can be tested without a network.

- registrar: Fleet, Pool, Group and Server.
Each server has its own lock and a failure domain keeps the sum of its candidates' loads, so that a choice reads the mean without a pass over the servers.
A leaving state is kept per source: with one flag, a probe that still answers would take back the instance list.
- router: consistent hashing with bounded load, two random choices, batch only into room.
Batch load does not count against the bound of online requests: it yields, and counting it would move prefixes between engines.
- retrier: retry budget per route, outcomes, crash suspects.
A suspect that ran to its end is acquitted, because a label lookup that many callers send is in flight on most servers that die.
- authenticator: digests of keys, withdrawn keys, sessions that end with them.
- refuser: JSON, HTTP status and Retry-After.

--- /dev/null
+++ b/internal/router/router_test.go
@@ -0,0 +1,171 @@
+package router
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/registrar"
+	"github.com/quetzalhitch/quetzalhitch/pkg/declarer"
+)
+
+func newFleet(servers, domains int) *registrar.Fleet {
+	d := declarer.Declaration{}
+	for i := range domains {
+		region := "north"
+		if i > 1 {
+			region = "south"
+		}
+		d.FailureDomains = append(d.FailureDomains, declarer.FailureDomain{Name: fmt.Sprintf("d%d", i), Region: region})
+	}
+	for i := range servers {
+		d.BackendServers = append(d.BackendServers, declarer.BackendServer{
+			Name: fmt.Sprintf("engine-%d", i), Kind: declarer.Engine, FailureDomain: fmt.Sprintf("d%d", i%domains),
+			Models: []string{"desk"}, Capacity: 8, BatchBound: 8,
+		})
+	}
+	f := registrar.NewFleet(clockwork.NewFakeClock())
+	f.Install(d)
+	return f
+}
+
+func newTestRouter() *Router {
+	return New(Config{FailureDomain: "d0", Region: "north", Random: rand.New(rand.NewPCG(1, 2))})
+}
+
+func pool(t testing.TB, f *registrar.Fleet) *registrar.Pool {
+	t.Helper()
+	p, ok := f.Pool("model/desk")
+	assert.Assert(t, ok)
+	return p
+}
+
+func server(t testing.TB, f *registrar.Fleet, name string) *registrar.Server {
+	t.Helper()
+	s, ok := f.Server(name)
+	assert.Assert(t, ok)
+	return s
+}
+
+func choose(t testing.TB, r *Router, f *registrar.Fleet, q Query) Decision {
+	t.Helper()
+	d, err := r.Choose(pool(t, f), q)
+	assert.NilError(t, err)
+	return d
+}
+
+func assertRefused(t *testing.T, r *Router, f *registrar.Fleet, q Query, want error) {
+	t.Helper()
+	_, err := r.Choose(pool(t, f), q)
+	assert.ErrorIs(t, err, want)
+}
+
+func fill(s *registrar.Server, class registrar.Class, n int) {
+	for range n {
+		s.Begin(class)
+	}
+}
+
+func TestChoose(t *testing.T) {
+	prompt := Query{Prefix: "you are a helpful desk"}
+
+	// Guards against prefixes that change servers while nothing is loaded,
+	// which empties the caches of the engines.
+	t.Run("affinity is stable and differs between entries only by domain", func(t *testing.T) {
+		f := newFleet(8, 2)
+		first := choose(t, newTestRouter(), f, prompt)
+		assert.Equal(t, first.FailureDomain, "d0")
+		assert.Equal(t, choose(t, New(Config{FailureDomain: "d0"}), f, prompt).Server, first.Server)
+	})
+
+	// Guards against one popular prefix that overloads one server.
+	t.Run("load above the bound moves on", func(t *testing.T) {
+		f := newFleet(8, 2)
+		first := choose(t, newTestRouter(), f, prompt)
+		fill(first.Server, registrar.Online, 3)
+		next := choose(t, newTestRouter(), f, prompt)
+		assert.Assert(t, next.Server != first.Server)
+		assert.Equal(t, next.Reason, ReasonNextOnRing)
+	})
+
+	// Guards against batch work that costs online requests their prefix cache.
+	t.Run("batch load does not displace online work", func(t *testing.T) {
+		f := newFleet(8, 2)
+		first := choose(t, newTestRouter(), f, prompt)
+		fill(first.Server, registrar.Batch, 8)
+		assert.Equal(t, choose(t, newTestRouter(), f, prompt).Server, first.Server)
+	})
+
+	// Guards against requests for leaving, failed or already tried servers.
+	t.Run("no candidate is not chosen", func(t *testing.T) {
+		f := newFleet(4, 1)
+		server(t, f, "engine-0").SetHealthy(false)
+		server(t, f, "engine-1").SetLeaving(registrar.LeavingByList, true)
+		assert.Assert(t, server(t, f, "engine-2").Reserve())
+		r := newTestRouter()
+		for _, q := range []Query{{}, prompt, {Class: registrar.Batch}} {
+			for range 20 {
+				assert.Equal(t, choose(t, r, f, q).Server.Name(), "engine-3")
+			}
+		}
+		assertRefused(t, r, f, Query{Exclude: []string{"engine-3"}}, ErrNoServer)
+		assertRefused(t, r, f, Query{Class: registrar.Batch, Exclude: []string{"engine-3"}}, ErrNoRoom)
+	})
+
+	// Guards against traffic between failure domains and regions without need.
+	t.Run("own domain, own region, other regions", func(t *testing.T) {
+		f := newFleet(3, 3)
+		r := newTestRouter()
+		for _, want := range []string{"d0", "d1", "d2"} {
+			d := choose(t, r, f, Query{})
+			assert.Equal(t, d.FailureDomain, want)
+			fill(d.Server, registrar.Online, 8)
+		}
+	})
+
+	// Guards against batch items on servers that online work fills.
+	t.Run("batch takes only room", func(t *testing.T) {
+		f := newFleet(2, 1)
+		fill(server(t, f, "engine-0"), registrar.Online, 8)
+		r := newTestRouter()
+		assert.Equal(t, choose(t, r, f, Query{Class: registrar.Batch}).Server.Name(), "engine-1")
+		fill(server(t, f, "engine-1"), registrar.Batch, 8)
+		assertRefused(t, r, f, Query{Class: registrar.Batch}, ErrNoRoom)
+	})
+
+	// Guards against a suspect request beside others or on the last server.
+	t.Run("a suspect gets the emptiest server and never the last", func(t *testing.T) {
+		f := newFleet(2, 1)
+		fill(server(t, f, "engine-0"), registrar.Online, 1)
+		r := newTestRouter()
+		assert.Equal(t, choose(t, r, f, Query{Alone: true}).Server.Name(), "engine-1")
+		server(t, f, "engine-0").SetHealthy(false)
+		assertRefused(t, r, f, Query{Alone: true}, ErrNoServer)
+	})
+}
+
+// Guards against a cost per decision that grows with the fleet.
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{10, 100, 600} {
+		f := newFleet(n, 10)
+		r := New(Config{FailureDomain: "d0", Region: "north"})
+		p := pool(b, f)
+		for _, q := range []Query{{Prefix: "you are a helpful desk"}, {}, {Class: registrar.Batch}} {
+			name := fmt.Sprintf("servers=%d/prefix=%t/batch=%t", n, q.Prefix != "", q.Class == registrar.Batch)
+			b.Run(name, func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					d, err := r.Choose(p, q)
+					if err != nil {
+						b.Fatal(err)
+					}
+					d.Server.Begin(registrar.Online)
+					d.Server.End(registrar.Online)
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/pkg/refuser/status.go
@@ -0,0 +1,45 @@
+package refuser
+
+// statusInternal is the HTTP status of a code without one.
+const statusInternal = 500
+
+// statuses are the HTTP statuses of the codes.
+var statuses = map[Code]int{
+	AlreadyRan:          409,
+	BadRequest:          400,
+	BodyTooLarge:        413,
+	DeadlineExceeded:    504,
+	Draining:            503,
+	HeaderTooLarge:      431,
+	IdempotencyConflict: 422,
+	InDoubt:             409,
+	JobConflict:         409,
+	JobNotFound:         404,
+	KeyInBody:           400,
+	KeyMissing:          401,
+	KeyUnknown:          401,
+	KeyWithdrawn:        401,
+	MethodNotAllowed:    405,
+	NoBackendServer:     503,
+	NotConfigured:       503,
+	OperatorKeyRequired: 403,
+	PlatformUnavailable: 503,
+	RateExceeded:        429,
+	RequestQuarantined:  422,
+	RouteNotBatchable:   400,
+	RouteNotFound:       404,
+	UpstreamFailed:      502,
+}
+
+// Status is the HTTP status of a refusal with this code.
+func (c Code) Status() int {
+	if status, ok := statuses[c]; ok {
+		return status
+	}
+	return statusInternal
+}
+
+// New returns a refusal with the status of its code.
+func New(code Code, outcome Outcome, message string) *Refusal {
+	return &Refusal{Code: code, Message: message, Outcome: outcome, Status: code.Status()}
+}
