--- /dev/null
+++ b/internal/emulator/engineemulator/answer.go
@@ -0,0 +1,52 @@
+package engineemulator
+
+// An Answer is a whole completion, or one chunk of a stream.
+type Answer struct {
+	Model   string   `json:"model"`
+	Choices []Choice `json:"choices"`
+	Usage   *Usage   `json:"usage,omitempty"`
+}
+
+// A Choice is the text of an answer. Which field is set depends on the call.
+type Choice struct {
+	Message *Text  `json:"message,omitempty"` // Whole chat completion.
+	Delta   *Text  `json:"delta,omitempty"`   // Chunk of a chat completion.
+	Text    string `json:"text,omitempty"`    // Completion.
+}
+
+// A Text is the text of a chat message.
+type Text struct {
+	Content string `json:"content"`
+}
+
+// A Usage counts the tokens of a request.
+type Usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+func (c *completion) chunk(text string) Answer {
+	choice := Choice{Text: text}
+	if c.chat {
+		choice = Choice{Delta: &Text{Content: text}}
+	}
+	return Answer{Model: c.request.Model, Choices: []Choice{choice}}
+}
+
+func (c *completion) usageChunk() Answer {
+	return Answer{Model: c.request.Model, Choices: []Choice{}, Usage: c.usage()}
+}
+
+func (c *completion) answer(text string) Answer {
+	choice := Choice{Text: text}
+	if c.chat {
+		choice = Choice{Message: &Text{Content: text}}
+	}
+	return Answer{Model: c.request.Model, Choices: []Choice{choice}, Usage: c.usage()}
+}
+
+func (c *completion) usage() *Usage {
+	prompt := tokensOf(c.prompt)
+	return &Usage{PromptTokens: prompt, CompletionTokens: c.total, TotalTokens: prompt + c.total}
+}
--- /dev/null
+++ b/internal/emulator/engineemulator/batch.go
@@ -0,0 +1,146 @@
+package engineemulator
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+)
+
+// A batch runs sequences side by side: each step gives one token to each, and
+// takes longer the more there are.
+type batch struct {
+	cfg   Config
+	loads *loadHistory
+	wake  chan struct{} // Holds one signal that a sequence joined.
+
+	mu      sync.Mutex
+	running []*sequence
+}
+
+// A sequence is one answer in the making.
+type sequence struct {
+	tokens chan int // Receives the index of each token; closed after the last.
+	total  int
+	made   int
+}
+
+func newBatch(cfg Config, loads *loadHistory) *batch {
+	return &batch{cfg: cfg, loads: loads, wake: make(chan struct{}, 1)}
+}
+
+// join adds a sequence of n tokens to the batch.
+func (b *batch) join(n int) *sequence {
+	s := &sequence{tokens: make(chan int, n), total: n}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.running = append(b.running, s)
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+	return s
+}
+
+// leave takes a sequence out before its end.
+func (b *batch) leave(s *sequence) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.running = slices.DeleteFunc(b.running, func(r *sequence) bool { return r == s })
+}
+
+func (b *batch) run(ctx context.Context) {
+	for {
+		if b.size() == 0 {
+			select {
+			case <-b.wake:
+				continue
+			case <-ctx.Done():
+				return
+			}
+		}
+		select {
+		case <-time.After(b.stepTime()):
+			b.step()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (b *batch) size() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.running)
+}
+
+func (b *batch) stepTime() time.Duration {
+	n := b.size()
+	neighbours := max(min(n, b.cfg.Capacity)-1, 0)
+	over := max(n-b.cfg.Capacity, 0)
+	growth := 1 + b.cfg.NeighbourCost*float64(neighbours) + b.cfg.OverloadCost*float64(over)
+	return time.Duration(float64(b.cfg.TokenTime) * growth)
+}
+
+func (b *batch) step() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.running = slices.DeleteFunc(b.running, (*sequence).advance)
+}
+
+// advance makes one token and reports whether it was the last.
+func (s *sequence) advance() bool {
+	s.tokens <- s.made
+	s.made++
+	if s.made < s.total {
+		return false
+	}
+	close(s.tokens)
+	return true
+}
+
+// A loadHistory remembers the load of the last while, because engines report
+// it late.
+type loadHistory struct {
+	lag time.Duration
+
+	mu      sync.Mutex
+	current int
+	changes []loadChange // In order of time; at most one is older than lag.
+}
+
+type loadChange struct {
+	at   time.Time
+	load int
+}
+
+func (h *loadHistory) add(n int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.current += n
+	now := time.Now()
+	h.changes = append(h.changes, loadChange{at: now, load: h.current})
+	h.forget(now)
+}
+
+func (h *loadHistory) forget(now time.Time) {
+	for len(h.changes) > 1 && now.Sub(h.changes[1].at) >= h.lag {
+		h.changes = h.changes[1:]
+	}
+}
+
+func (h *loadHistory) now() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.current
+}
+
+func (h *loadHistory) reported(now time.Time) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.forget(now)
+	if len(h.changes) == 0 || now.Sub(h.changes[0].at) < h.lag {
+		return 0
+	}
+	return h.changes[0].load
+}
--- /dev/null
+++ b/internal/emulator/engineemulator/completion.go
@@ -0,0 +1,185 @@
+package engineemulator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/emulator"
+)
+
+// defaultMaxTokens is the length of an answer whose request names none.
+const defaultMaxTokens = 16
+
+// markerPattern finds the marker of a prompt, which each token of the answer
+// repeats.
+var markerPattern = regexp.MustCompile(`marker:([A-Za-z0-9_.-]+)`)
+
+// A completionRequest is the part of a request that the engine understands.
+type completionRequest struct {
+	Model     string        `json:"model"`
+	Messages  []chatMessage `json:"messages"`
+	Prompt    string        `json:"prompt"`
+	MaxTokens int           `json:"max_tokens"`
+	Stream    bool          `json:"stream"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// text is the prompt as the engine sees it.
+func (r completionRequest) text() string {
+	if len(r.Messages) == 0 {
+		return r.Prompt
+	}
+	var b strings.Builder
+	for _, m := range r.Messages {
+		fmt.Fprintf(&b, "%s: %s\n", m.Role, m.Content)
+	}
+	return b.String()
+}
+
+// A completion is one request on its way through the engine.
+type completion struct {
+	engine  *Engine
+	request completionRequest
+	prompt  string
+	marker  string
+	fault   Fault
+	chat    bool
+	total   int
+}
+
+func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	if _, err := e.journal.Record(r); err != nil {
+		return
+	}
+	var request completionRequest
+	if !emulator.ReadJSON(w, r, &request) {
+		return
+	}
+	if !e.orders.has(request.Model) {
+		http.Error(w, "model is not loaded", http.StatusNotFound)
+		return
+	}
+	c := e.newCompletion(r, request)
+	e.loads.add(1)
+	defer e.loads.add(-1)
+	c.serve(w, r)
+}
+
+func (e *Engine) newCompletion(r *http.Request, request completionRequest) *completion {
+	c := &completion{engine: e, request: request, prompt: request.text(), chat: strings.Contains(r.URL.Path, "chat")}
+	c.total = orInt(request.MaxTokens, defaultMaxTokens)
+	c.marker = "token"
+	if found := markerPattern.FindStringSubmatch(c.prompt); found != nil {
+		c.marker = found[1]
+	}
+	c.fault = e.hit(c.prompt)
+	return c
+}
+
+func (c *completion) serve(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case c.fault.DieOn != "":
+		c.engine.dieNow(c.fault)
+		return
+	case c.fault.StallAtStart:
+		<-r.Context().Done()
+		return
+	case c.fault.Status != 0:
+		http.Error(w, "fault", c.fault.Status)
+		return
+	}
+	if !c.prefill(r.Context()) {
+		return
+	}
+	s := c.engine.batch.join(c.total)
+	defer c.engine.batch.leave(s)
+	if c.request.Stream {
+		c.stream(w, r, s)
+		return
+	}
+	c.whole(w, r, s)
+}
+
+func (c *completion) prefill(ctx context.Context) bool {
+	fresh := max(tokensOf(c.prompt)-c.engine.cache.use(c.prompt), 0)
+	select {
+	case <-time.After(c.fault.delay() + time.Duration(fresh)*c.engine.cfg.PrefillTime):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// next waits for a token and reports whether there is one.
+func (c *completion) next(ctx context.Context, s *sequence) (text string, ok bool) {
+	select {
+	case i, ok := <-s.tokens:
+		return fmt.Sprintf("%s-%d ", c.marker, i), ok
+	case <-ctx.Done():
+		return "", false
+	}
+}
+
+func (c *completion) stream(w http.ResponseWriter, r *http.Request, s *sequence) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	for made := 0; made < c.total; made++ {
+		text, ok := c.next(r.Context(), s)
+		if !ok {
+			return
+		}
+		c.event(w, c.chunk(text))
+		if made+1 == c.fault.CutAfterTokens {
+			emulator.Cut(w)
+			return
+		}
+		if made+1 == c.fault.StallAfterTokens {
+			<-r.Context().Done()
+			return
+		}
+	}
+	c.event(w, c.usageChunk())
+	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
+}
+
+func (c *completion) event(w http.ResponseWriter, document any) {
+	data, err := json.Marshal(document)
+	if err != nil {
+		return
+	}
+	_, _ = fmt.Fprintf(w, "data: %s\n\n", data)
+	_ = http.NewResponseController(w).Flush()
+}
+
+func (c *completion) whole(w http.ResponseWriter, r *http.Request, s *sequence) {
+	var text strings.Builder
+	for range c.total {
+		token, ok := c.next(r.Context(), s)
+		if !ok {
+			return
+		}
+		text.WriteString(token)
+	}
+	answer := c.answer(text.String())
+	if c.fault.CutAfterTokens == 0 {
+		emulator.WriteJSON(w, http.StatusOK, answer)
+		return
+	}
+	data, err := json.Marshal(answer)
+	if err != nil {
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", fmt.Sprint(len(data)))
+	_, _ = w.Write(data[:len(data)/2])
+	_ = http.NewResponseController(w).Flush()
+	emulator.Cut(w)
+}
--- /dev/null
+++ b/internal/emulator/engineemulator/engine.go
@@ -0,0 +1,172 @@
+// Package engineemulator is a stand-in for a model engine with continuous
+// batching, a prompt prefix cache and no priorities.
+package engineemulator
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/emulator"
+)
+
+// Defaults of the configuration.
+const (
+	defaultCapacity      = 8
+	defaultTokenTime     = 2 * time.Millisecond
+	defaultNeighbourCost = 0.005
+	defaultOverloadCost  = 0.2
+	defaultPrefillTime   = 10 * time.Microsecond
+	defaultCacheBlocks   = 4096
+	defaultLoadLag       = 500 * time.Millisecond
+)
+
+// A Config describes an engine. Zero values take the defaults.
+type Config struct {
+	Name          string
+	Address       string   // Such as "127.0.0.1:0".
+	Models        []string // Models that are loaded at the start; empty answers for any model.
+	Capacity      int      // Requests that run side by side with little harm.
+	TokenTime     time.Duration
+	NeighbourCost float64       // Growth of the token time for each neighbour within the capacity.
+	OverloadCost  float64       // Growth for each request above the capacity.
+	PrefillTime   time.Duration // For each prompt token that is not in the cache.
+	CacheBlocks   int           // Blocks of prompt that the prefix cache holds.
+	LoadLag       time.Duration // Age of the load that GET /load reports.
+	LoadTime      time.Duration // Time that an order to load a model takes.
+	Fencing       bool          // Orders with an old fencing number are refused.
+	JournalSize   int
+	Exit          func(code int) // Ends the process for the fault "exit"; nil in tests in process.
+}
+
+func (c Config) withDefaults() Config {
+	c.Capacity = orInt(c.Capacity, defaultCapacity)
+	c.TokenTime = orDuration(c.TokenTime, defaultTokenTime)
+	c.PrefillTime = orDuration(c.PrefillTime, defaultPrefillTime)
+	c.CacheBlocks = orInt(c.CacheBlocks, defaultCacheBlocks)
+	c.LoadLag = orDuration(c.LoadLag, defaultLoadLag)
+	if c.NeighbourCost == 0 {
+		c.NeighbourCost = defaultNeighbourCost
+	}
+	if c.OverloadCost == 0 {
+		c.OverloadCost = defaultOverloadCost
+	}
+	return c
+}
+
+func orInt(n, otherwise int) int {
+	if n == 0 {
+		return otherwise
+	}
+	return n
+}
+
+func orDuration(d, otherwise time.Duration) time.Duration {
+	if d == 0 {
+		return otherwise
+	}
+	return d
+}
+
+// An Engine is a running stand-in.
+type Engine struct {
+	cfg     Config
+	host    *emulator.Host
+	journal *emulator.Journal
+	cache   *prefixCache
+	batch   *batch
+	loads   *loadHistory
+	orders  *orderBook
+	wait    conc.WaitGroup
+
+	mu    sync.Mutex
+	fault Fault
+}
+
+// New returns an engine that does not listen yet.
+func New(cfg Config) *Engine {
+	cfg = cfg.withDefaults()
+	e := &Engine{
+		cfg:     cfg,
+		journal: emulator.NewJournal(cfg.JournalSize),
+		cache:   newPrefixCache(cfg.CacheBlocks),
+		loads:   &loadHistory{lag: cfg.LoadLag},
+		orders:  newOrderBook(cfg),
+	}
+	e.batch = newBatch(cfg, e.loads)
+	e.host = emulator.NewHost(cfg.Address, e.handler())
+	return e
+}
+
+func (e *Engine) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", e.complete)
+	mux.HandleFunc("POST /v1/completions", e.complete)
+	mux.HandleFunc("GET /health", e.health)
+	mux.HandleFunc("GET /load", e.load)
+	mux.HandleFunc("POST /orders", e.orders.order)
+	mux.HandleFunc("GET /orders", e.orders.list)
+	mux.HandleFunc("POST /fault", e.setFault)
+	mux.Handle("GET /received", e.journal)
+	return mux
+}
+
+// Open listens, so that Address is known, also again after Die.
+func (e *Engine) Open() error {
+	return e.host.Open()
+}
+
+// Start serves until ctx ends.
+func (e *Engine) Start(ctx context.Context) <-chan error {
+	e.wait.Go(func() { e.batch.run(ctx) })
+	return e.host.Start(ctx)
+}
+
+// Address is the bound address.
+func (e *Engine) Address() string {
+	return e.host.Address()
+}
+
+// Die closes the listener and all connections. Open brings the engine back.
+func (e *Engine) Die() {
+	e.host.Die()
+}
+
+// Journal is the record of all completions that were asked for.
+func (e *Engine) Journal() *emulator.Journal {
+	return e.journal
+}
+
+// Running is the number of requests that run now.
+func (e *Engine) Running() int {
+	return e.loads.now()
+}
+
+func (e *Engine) health(w http.ResponseWriter, _ *http.Request) {
+	fault := e.Fault()
+	switch {
+	case fault.Unhealthy:
+		emulator.WriteJSON(w, http.StatusServiceUnavailable, healthReport{State: "failed"})
+	case fault.Leaving:
+		emulator.WriteJSON(w, http.StatusOK, healthReport{State: "leaving"})
+	default:
+		emulator.WriteJSON(w, http.StatusOK, healthReport{State: "ready"})
+	}
+}
+
+type healthReport struct {
+	State string `json:"state"`
+}
+
+func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
+	emulator.WriteJSON(w, http.StatusOK, LoadReport{Running: e.loads.reported(time.Now()), Capacity: e.cfg.Capacity})
+}
+
+// A LoadReport is the answer to GET /load.
+type LoadReport struct {
+	Running  int `json:"running"` // As it was before the lag.
+	Capacity int `json:"capacity"`
+}
--- /dev/null
+++ b/internal/emulator/serviceemulator/service.go
@@ -0,0 +1,196 @@
+// Package serviceemulator is a stand-in for a plain service: lookups of labels
+// and alarms, and calls that may not be repeated.
+package serviceemulator
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/emulator"
+)
+
+// A Config describes a service. Zero values take the defaults.
+type Config struct {
+	Name        string
+	Address     string        // Such as "127.0.0.1:0".
+	AnswerTime  time.Duration // Time that each call takes.
+	JournalSize int
+	Exit        func(code int) // Ends the process for the fault "exit"; nil in tests in process.
+}
+
+// A Service is a running stand-in.
+type Service struct {
+	cfg     Config
+	host    *emulator.Host
+	journal *emulator.Journal
+
+	mu     sync.Mutex
+	fault  Fault
+	orders map[string]int // Times that each order was placed, by its ID.
+	acks   map[string]int // Times that each alarm was acknowledged.
+}
+
+// New returns a service that does not listen yet.
+func New(cfg Config) *Service {
+	s := &Service{
+		cfg:     cfg,
+		journal: emulator.NewJournal(cfg.JournalSize),
+		orders:  map[string]int{},
+		acks:    map[string]int{},
+	}
+	s.host = emulator.NewHost(cfg.Address, s.handler())
+	return s
+}
+
+func (s *Service) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /labels/{id}", s.call(s.label))
+	mux.Handle("GET /alarms/{id}", s.call(s.alarm))
+	mux.Handle("POST /alarms/{id}/ack", s.call(s.acknowledge))
+	mux.Handle("POST /orders", s.call(s.place))
+	mux.HandleFunc("GET /orders", s.list)
+	mux.HandleFunc("GET /health", s.health)
+	mux.HandleFunc("POST /fault", s.setFault)
+	mux.Handle("GET /received", s.journal)
+	return mux
+}
+
+// Open listens, so that Address is known, also again after Die.
+func (s *Service) Open() error {
+	return s.host.Open()
+}
+
+// Start serves until ctx ends.
+func (s *Service) Start(ctx context.Context) <-chan error {
+	return s.host.Start(ctx)
+}
+
+// Address is the bound address.
+func (s *Service) Address() string {
+	return s.host.Address()
+}
+
+// Die closes the listener and all connections. Open brings the service back.
+func (s *Service) Die() {
+	s.host.Die()
+}
+
+// Journal is the record of all calls.
+func (s *Service) Journal() *emulator.Journal {
+	return s.journal
+}
+
+// Orders is the number of times that an order was placed.
+func (s *Service) Orders(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.orders[id]
+}
+
+// Acknowledgements is the number of times that an alarm was acknowledged.
+func (s *Service) Acknowledgements(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.acks[id]
+}
+
+// A Label is the answer to a label lookup.
+type Label struct {
+	ID     string `json:"id"`
+	Pallet string `json:"pallet"`
+}
+
+// An Alarm is the answer to an alarm lookup or acknowledgement.
+type Alarm struct {
+	ID           string `json:"id"`
+	Acknowledged int    `json:"acknowledged"`
+}
+
+// An Order is a call that may not be repeated, and its answer.
+type Order struct {
+	ID    string `json:"order-id"`
+	Times int    `json:"times,omitempty"` // Times that it was placed, with this one.
+}
+
+func (s *Service) label(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	s.answer(w, r, Label{ID: id, Pallet: "pallet-" + id})
+}
+
+func (s *Service) alarm(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	s.answer(w, r, Alarm{ID: id, Acknowledged: s.Acknowledgements(id)})
+}
+
+func (s *Service) acknowledge(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	s.mu.Lock()
+	s.acks[id]++
+	n := s.acks[id]
+	s.mu.Unlock()
+	s.answer(w, r, Alarm{ID: id, Acknowledged: n})
+}
+
+func (s *Service) place(w http.ResponseWriter, r *http.Request) {
+	var o Order
+	if !emulator.ReadJSON(w, r, &o) {
+		return
+	}
+	s.mu.Lock()
+	s.orders[o.ID]++
+	o.Times = s.orders[o.ID]
+	s.mu.Unlock()
+	s.answer(w, r, o)
+}
+
+// answer ends a call that has run, unless the fault loses the answer.
+func (s *Service) answer(w http.ResponseWriter, r *http.Request, document any) {
+	fault := faultOf(r)
+	switch {
+	case fault.CloseAfterRun:
+		emulator.Cut(w)
+	case fault.StallAfterRun:
+		<-r.Context().Done()
+	default:
+		emulator.WriteJSON(w, http.StatusOK, document)
+	}
+}
+
+// list answers with the counts of orders and acknowledgements.
+func (s *Service) list(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	report := countReport{Orders: copyCounts(s.orders), Acknowledgements: copyCounts(s.acks)}
+	s.mu.Unlock()
+	emulator.WriteJSON(w, http.StatusOK, report)
+}
+
+type countReport struct {
+	Orders           map[string]int `json:"orders"`
+	Acknowledgements map[string]int `json:"acknowledgements"`
+}
+
+func copyCounts(counts map[string]int) map[string]int {
+	c := make(map[string]int, len(counts))
+	for id, n := range counts {
+		c[id] = n
+	}
+	return c
+}
+
+type healthReport struct {
+	State string `json:"state"`
+}
+
+func (s *Service) health(w http.ResponseWriter, _ *http.Request) {
+	fault := s.Fault()
+	switch {
+	case fault.Unhealthy:
+		emulator.WriteJSON(w, http.StatusServiceUnavailable, healthReport{State: "failed"})
+	case fault.Leaving:
+		emulator.WriteJSON(w, http.StatusOK, healthReport{State: "leaving"})
+	default:
+		emulator.WriteJSON(w, http.StatusOK, healthReport{State: "ready"})
+	}
+}
