--- a/internal/emulator/platformemulator/server.go
+++ b/internal/emulator/platformemulator/server.go
@@ -48,6 +48,13 @@
 	late    conc.WaitGroup // Writes that are carried out after their call was dropped.
 }
 
+// A silentLogger drops the library's messages about connections that faults
+// cut.
+type silentLogger struct{}
+
+// Printf implements fasthttp.Logger.
+func (silentLogger) Printf(string, ...any) {}
+
 // New listens on the configured addresses; Start serves them.
 func New(cfg Config) (s *Server, err error) {
 	defer func() { err = merry.Prepend(err, "platform stand-in") }()
@@ -155,6 +162,7 @@
 		Handler:               app.Handler(),
 		MaxRequestBodySize:    maxBodyBytes,
 		NoDefaultServerHeader: true,
+		Logger:                silentLogger{},
 	}
 	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
 	defer stop()
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -50,3 +50,10 @@
 type Handler interface {
 	Handle(ctx context.Context, sender string, payload []byte) (response []byte, err error)
 }
+
+// A Peer is an instance that this process can call.
+type Peer struct {
+	ID            string
+	Address       string // UDP host and port of its links.
+	FailureDomain string
+}
--- /dev/null
+++ b/internal/publisher/messages.go
@@ -0,0 +1,73 @@
+package publisher
+
+import (
+	"context"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/linker"
+)
+
+// An announcement is the request of kind snapshot: the sender accepted a
+// revision. The snapshot itself is asked for, since most peers get it from the
+// platform.
+type announcement struct {
+	Revision int64 `cbor:"revision"`
+}
+
+// A confirmation answers an announcement.
+type confirmation struct {
+	Revision int64 `cbor:"revision"` // In force at the receiver when it answered.
+}
+
+// A snapshotRequest is the request of kind snapshot-request.
+type snapshotRequest struct {
+	AboveRevision int64 `cbor:"above-revision"`
+}
+
+// A snapshotResponse answers a snapshotRequest; it is empty when the receiver
+// has no higher revision.
+type snapshotResponse struct {
+	Key  string `cbor:"key,omitempty"` // Platform key, which holds the digest of Data.
+	Data []byte `cbor:"data,omitempty"`
+}
+
+// A handlerFunc is a linker.Handler.
+type handlerFunc func(ctx context.Context, sender string, payload []byte) (response []byte, err error)
+
+// Handle implements linker.Handler.
+func (f handlerFunc) Handle(ctx context.Context, sender string, payload []byte) ([]byte, error) {
+	return f(ctx, sender, payload)
+}
+
+// SnapshotHandler answers messages of kind snapshot.
+func (p *Publisher) SnapshotHandler() linker.Handler {
+	return handlerFunc(p.handleSnapshot)
+}
+
+// SnapshotRequestHandler answers messages of kind snapshot-request.
+func (p *Publisher) SnapshotRequestHandler() linker.Handler {
+	return handlerFunc(p.handleSnapshotRequest)
+}
+
+func (p *Publisher) handleSnapshot(_ context.Context, sender string, payload []byte) (response []byte, err error) {
+	var request announcement
+	if err := cbor.Unmarshal(payload, &request); err != nil {
+		return nil, merry.Wrap(err)
+	}
+	p.ObserveRevision(sender, request.Revision)
+	return cbor.Marshal(confirmation{Revision: p.revision()})
+}
+
+func (p *Publisher) handleSnapshotRequest(_ context.Context, _ string, payload []byte) (response []byte, err error) {
+	var request snapshotRequest
+	if err := cbor.Unmarshal(payload, &request); err != nil {
+		return nil, merry.Wrap(err)
+	}
+	var answer snapshotResponse
+	if current := p.current.Load(); current != nil && current.Revision > request.AboveRevision {
+		answer = snapshotResponse{Key: current.key, Data: current.data}
+	}
+	return cbor.Marshal(answer)
+}
