--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -15,10 +15,16 @@
 	exitOK      = 0
 	exitFailure = 1
 	exitUsage   = 2
+	exitPending = 3 // Accepted, but not confirmed by every instance in time.
+	exitInDoubt = 4 // It is unknown whether the change was accepted.
 )
 
 // Args are the command line arguments of the binary.
 type Args struct {
+	Apply   *ApplyCmd   `arg:"subcommand:apply" help:"put a release note into force"`
+	Check   *CheckCmd   `arg:"subcommand:check" help:"report the faults of settings, declarations and release notes"`
+	Key     *KeyCmd     `arg:"subcommand:key" help:"grant and withdraw keys of workspaces"`
+	Status  *StatusCmd  `arg:"subcommand:status" help:"show the configuration in force and where it is confirmed"`
 	Version *VersionCmd `arg:"subcommand:version" help:"print the version"`
 }
 
@@ -32,6 +38,15 @@
 	run(stdout, stderr io.Writer) error
 }
 
+// An exitError is an error with an exit code of its own.
+type exitError struct {
+	code int
+	err  error
+}
+
+func (e *exitError) Error() string { return e.err.Error() }
+func (e *exitError) Unwrap() error { return e.err }
+
 // Main parses args, runs the chosen subcommand and returns the exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
 	var parsed Args
@@ -58,7 +73,15 @@
 	}
 	if err := cmd.run(stdout, stderr); err != nil {
 		fmt.Fprintln(stderr, "error:", err)
-		return exitFailure
+		return exitCode(err)
 	}
 	return exitOK
 }
+
+func exitCode(err error) int {
+	var coded *exitError
+	if errors.As(err, &coded) {
+		return coded.code
+	}
+	return exitFailure
+}
--- a/internal/emulator/platformemulator/server_test.go
+++ b/internal/emulator/platformemulator/server_test.go
@@ -81,6 +81,14 @@
 		_, err = s.Memory().Watch(t.Context(), put.Key, 0)
 		assert.NilError(t, err)
 	})
+	t.Run("a slow answer does not prolong a lease", func(t *testing.T) {
+		s, client := start(t)
+		assert.NilError(t, s.SetFaults(platformemulator.Faults{Delay: platformemulator.Duration(callTimeout / 2)}))
+		before := time.Now()
+		lease, err := client.GrantLease(t.Context(), time.Second)
+		assert.NilError(t, err)
+		assert.Assert(t, lease.ExpiresAt.Before(before.Add(time.Second+callTimeout/2)))
+	})
 	t.Run("an unknown outage is refused", func(t *testing.T) {
 		s, _ := start(t)
 		assert.ErrorContains(t, s.SetFaults(platformemulator.Faults{Outage: "rain"}), "unknown outage")
