feat: dispatch of online requests and batch items

A request needs one place that knows how far it came, because the outcome that a refusal states follows from that.

A stream begins with its first event, since up to then another server may still answer. Requests in flight on a dead server are run alone, a few at a time. Running all of them beside others was ruled out: the neighbours of the request at fault would meet it again and be quarantined with it. - Batch items end, newest first, when an online request finds the load of their engine above its capacity; peers are told only if that does not suffice.

--- /dev/null
+++ b/internal/dispatcher/dispatch_test.go
@@ -0,0 +1,249 @@
+package dispatcher
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/emulator/engineemulator"
+	"github.com/quetzalhitch/quetzalhitch/internal/emulator/serviceemulator"
+	"github.com/quetzalhitch/quetzalhitch/internal/sender"
+	"github.com/quetzalhitch/quetzalhitch/pkg/declarer"
+	"github.com/quetzalhitch/quetzalhitch/pkg/refuser"
+)
+
+func TestAnswers(t *testing.T) {
+	r := newRig(t, 2, 1)
+	// Guards against a path that loses or cuts answers without any fault.
+	t.Run("whole, stream and service", func(t *testing.T) {
+		assertAnswered(t, r, completion("marker:m-1", 5, false), "m-1-4 ")
+		assertAnswered(t, r, completion("marker:m-2", 5, true), "[DONE]")
+		assertAnswered(t, r, call("GET", "/labels/l-7", "", true), "pallet-l-7")
+	})
+
+	// Guards against requests that run without admission.
+	t.Run("a refused admission runs nothing", func(t *testing.T) {
+		r.admitter.refused = true
+		defer func() { r.admitter.refused = false }()
+		assertRefused(t, r, completion("marker:m-3", 5, false), refuser.RateExceeded, refuser.NotRun)
+		assertReceived(t, r, "m-3", 0)
+	})
+
+	// Guards against a key that reaches a backend server.
+	t.Run("keys stay here", func(t *testing.T) {
+		q := completion("marker:m-4 my key is qh-secret", 5, false)
+		q.Keys = []string{"qh-secret"}
+		assertRefused(t, r, q, refuser.KeyInBody, refuser.NotRun)
+		q = call("GET", "/labels/l-8", "", true)
+		q.Keys = []string{"qh-secret"}
+		q.Query = "key=qh-secret&lang=hr"
+		q.Header = []sender.Field{{Name: "Authorization", Value: "Bearer qh-secret"}, {Name: "Cookie", Value: "k=qh-secret"}}
+		assertAnswered(t, r, q, "pallet-l-8")
+		q.Query = "note=qh-secret"
+		assertRefused(t, r, q, refuser.BadRequest, refuser.NotRun)
+		assertReceived(t, r, "qh-secret", 0)
+		assertReceived(t, r, "lang=hr", 1)
+	})
+
+	// Guards against an abandoned stream that goes on to use an engine.
+	t.Run("a caller that goes ends its stream", func(t *testing.T) {
+		w := &recordingWriter{failAt: 3}
+		refusal := r.Dispatch(context.Background(), completion("marker:m-5", 100000, true), w)
+		assert.Equal(t, refusal.Code, refuser.CallerGone)
+		waitFor(t, "the engine to stop", func() bool { return r.running() == 0 })
+	})
+
+	// Guards against no-server refusals that claim anything but not-run.
+	t.Run("no server", func(t *testing.T) {
+		q := completion("marker:m-6", 5, false)
+		q.Route.Model = "absent"
+		assertRefused(t, r, q, refuser.NoBackendServer, refuser.NotRun)
+	})
+}
+
+// Guards against an order that is placed twice, and against a refusal that
+// says not-run for an order that was placed.
+func TestNonIdempotent(t *testing.T) {
+	order := func(id string) Request { return call("POST", "/orders", `{"order-id":"`+id+`"}`, false) }
+	faults := map[string]serviceemulator.Fault{
+		"closed after the run":          {CloseAfterRun: true},
+		"closed before the run":         {Close: true},
+		"cut answer":                    {Cut: true},
+		"stalled after the run":         {StallAfterRun: true},
+		"reused connection closed":      {CloseReused: true},
+		"server that is busy elsewhere": {Status: 503},
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 0, 2)
+			for range 4 { // Idle connections that the far end may close at a bad moment.
+				assertAnswered(t, r, call("GET", "/labels/1", "", true), "pallet-1")
+			}
+			for _, s := range r.services {
+				s.SetFault(fault)
+			}
+			w := &recordingWriter{}
+			refusal := r.Dispatch(context.Background(), order("o-1"), w)
+			placed := r.services[0].Orders("o-1") + r.services[1].Orders("o-1")
+			assert.Assert(t, placed <= 1, "placed %d times", placed)
+			if refusal != nil {
+				assert.Equal(t, refusal.Outcome, refuser.Unknown)
+			}
+			assertReceived(t, r, "o-1", 1)
+		})
+	}
+
+	t.Run("a dead server is passed over, a dead pool says not-run", func(t *testing.T) {
+		r := newRig(t, 0, 2)
+		r.services[0].Die()
+		for i := range 4 {
+			assertAnswered(t, r, order(fmt.Sprint("o-", i)), "order-id")
+		}
+		r.services[1].Die()
+		w := &recordingWriter{}
+		refusal := r.Dispatch(context.Background(), order("o-9"), w)
+		assert.Equal(t, refusal.Outcome, refuser.NotRun)
+		assertReceived(t, r, "o-9", 0)
+	})
+}
+
+func TestFaultyServers(t *testing.T) {
+	// Guards against a cut stream that looks whole.
+	t.Run("a cut stream has no end", func(t *testing.T) {
+		r := newRig(t, 2, 0)
+		for _, e := range r.engines {
+			e.SetFault(engineemulator.Fault{CutAfterTokens: 3})
+		}
+		assertRefused(t, r, completion("marker:m-1", 9, true), refuser.UpstreamFailed, refuser.Unknown)
+	})
+
+	// Guards against a whole answer that is lost although another server could
+	// give it.
+	t.Run("a cut whole answer is asked for again", func(t *testing.T) {
+		r := newRig(t, 2, 0)
+		for _, e := range r.engines {
+			e.SetFault(engineemulator.Fault{CutAfterTokens: 3, Times: 1})
+		}
+		r.engines[0].SetFault(engineemulator.Fault{})
+		for i := range 4 {
+			assertAnswered(t, r, completion(fmt.Sprint("marker:m-", i), 9, false), fmt.Sprintf("m-%d-8 ", i))
+		}
+	})
+
+	// Guards against a silent connection or stalled server that uses up the
+	// deadline of a lookup.
+	t.Run("silence leaves time for another server", func(t *testing.T) {
+		r := newRig(t, 0, 2)
+		r.services[0].SetFault(serviceemulator.Fault{Stall: true})
+		for i := range 3 {
+			assertAnswered(t, r, call("GET", fmt.Sprint("/labels/l-", i), "", true), "pallet-l-")
+		}
+	})
+
+	// Guards against a stream that goes silent and keeps its caller waiting.
+	t.Run("a silent stream ends", func(t *testing.T) {
+		r := newRig(t, 1, 0)
+		r.engines[0].SetFault(engineemulator.Fault{StallAfterTokens: 2})
+		q := completion("marker:m-1", 9, true)
+		q.Route.Deadline = declarer.Duration(200 * time.Millisecond)
+		assertRefused(t, r, q, refuser.DeadlineExceeded, refuser.Unknown)
+	})
+
+	// Guards against a busy engine whose refusal reaches the caller although
+	// another engine is free.
+	t.Run("a busy engine is passed over", func(t *testing.T) {
+		r := newRig(t, 2, 0)
+		r.engines[0].SetFault(engineemulator.Fault{Status: 503})
+		for i := range 6 {
+			assertAnswered(t, r, completion(fmt.Sprint("marker:m-", i), 2, true), fmt.Sprintf("m-%d-1 ", i))
+		}
+	})
+}
+
+// Guards against a request that takes down one engine after the other, and
+// against neighbours that are lost or quarantined with it.
+func TestCrashRequest(t *testing.T) {
+	r := newRig(t, 5, 0)
+	for _, e := range r.engines {
+		e.SetFault(engineemulator.Fault{DieOn: "poison"})
+	}
+	crash := completion("marker:bad poison", 5, false)
+	var wg sync.WaitGroup
+	for i := range 12 {
+		wg.Go(func() {
+			for j := range 6 {
+				marker := fmt.Sprintf("good-%d-%d", i, j)
+				assertAnswered(t, r, completion("marker:"+marker, 30, false), marker+"-29 ")
+			}
+		})
+	}
+	waitFor(t, "neighbours", func() bool { return r.running() >= 8 })
+	w := &recordingWriter{}
+	refusal := r.Dispatch(context.Background(), crash, w)
+	assert.Equal(t, refusal.Code, refuser.RequestQuarantined, "refusal %v", refusal)
+	assert.Equal(t, refusal.Outcome, refuser.Unknown)
+	wg.Wait()
+	for range 3 { // The caller sends it again.
+		assertRefused(t, r, crash, refuser.RequestQuarantined, refuser.NotRun)
+	}
+	assertReceived(t, r, "poison", 2)
+	assertAnswered(t, r, completion("marker:after", 5, false), "after-4 ")
+}
+
+func TestIntents(t *testing.T) {
+	r := newRig(t, 1, 1)
+	order := call("POST", "/orders", `{"order-id":"o-1"}`, false)
+	order.IdempotencyKey = "k-1"
+
+	// Guards against a resend that runs again, or that is told a wrong outcome.
+	t.Run("an intent that is not fresh does not run", func(t *testing.T) {
+		cases := []struct {
+			state   IntentState
+			code    refuser.Code
+			outcome refuser.Outcome
+		}{
+			{IntentUnavailable, refuser.PlatformUnavailable, refuser.NotRun},
+			{IntentInDoubt, refuser.InDoubt, refuser.Unknown},
+			{IntentConflict, refuser.IdempotencyConflict, refuser.NotRun},
+		}
+		for _, c := range cases {
+			r.intents.result = IntentResult{State: c.state}
+			assertRefused(t, r, order, c.code, c.outcome)
+		}
+		r.intents.result = IntentResult{State: IntentDone, Answer: RecordedAnswer{TooLarge: true}}
+		assertRefused(t, r, order, refuser.AlreadyRan, refuser.Ran)
+		r.intents.result.Answer = RecordedAnswer{Status: 200, Body: []byte("recorded")}
+		assertAnswered(t, r, order, "recorded")
+		assertReceived(t, r, "o-1", 0)
+	})
+
+	// Guards against answers that a resend cannot get.
+	t.Run("a fresh intent is finished", func(t *testing.T) {
+		r.intents.result = IntentResult{State: IntentFresh}
+		assertAnswered(t, r, order, "o-1")
+		ends := r.intents.finished()
+		assert.Equal(t, string(ends[0].Answer.Body), `{"order-id":"o-1","times":1}`)
+
+		r.services[0].SetFault(serviceemulator.Fault{CloseAfterRun: true, Times: 1})
+		assertRefused(t, r, order, refuser.UpstreamFailed, refuser.Unknown)
+		assert.Equal(t, len(r.intents.finished()), 1, "an intent without known end was finished")
+
+		q := completion("marker:m-1", 5000, true)
+		q.IdempotencyKey = "k-2"
+		ctx, cancel := context.WithCancelCause(context.Background())
+		w := &recordingWriter{onNext: func() { cancel(ErrCallerGone) }, failAt: 1}
+		q.Body = completion("marker:m-1", 200, true).Body
+		_ = r.Dispatch(ctx, q, w)
+		ends = r.intents.finished()
+		assert.Equal(t, len(ends), 2, "the request did not go on without its caller")
+		assert.Assert(t, ends[1].Answer.Status == 200 && !ends[1].NotRun)
+
+		r.services[0].Die()
+		assertRefused(t, r, order, refuser.NoBackendServer, refuser.NotRun)
+		assert.Assert(t, r.intents.finished()[2].NotRun)
+	})
+}
--- /dev/null
+++ b/internal/dispatcher/item_test.go
@@ -0,0 +1,161 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/emulator/engineemulator"
+	"github.com/quetzalhitch/quetzalhitch/pkg/refuser"
+)
+
+// An itemRun is a batch item that runs in the background.
+type itemRun struct {
+	done   chan struct{}
+	result ItemResult
+	err    error
+}
+
+func (r *rig) startItem(i Item) *itemRun {
+	run := &itemRun{done: make(chan struct{})}
+	go func() {
+		defer close(run.done)
+		run.result, run.err = r.RunItem(context.Background(), i)
+	}()
+	return run
+}
+
+// startItems starts endless items one after the other, so that their order is
+// known, and waits until they run.
+func (r *rig) startItems(t *testing.T, n int) []*itemRun {
+	t.Helper()
+	var runs []*itemRun
+	for i := range n {
+		runs = append(runs, r.startItem(item(fmt.Sprint("marker:b-", i), 100000)))
+		waitFor(t, "the item to run", func() bool { return r.running() == i+1 })
+	}
+	return runs
+}
+
+func (i *itemRun) ended() bool {
+	select {
+	case <-i.done:
+		return true
+	default:
+		return false
+	}
+}
+
+func assertYielded(t *testing.T, i *itemRun) {
+	t.Helper()
+	waitFor(t, "the item to yield", i.ended)
+	assert.ErrorIs(t, i.err, ErrYielded)
+}
+
+// startStream starts an endless online stream and returns what ends it.
+func (r *rig) startStream(t *testing.T, n int) func() {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	first := make(chan struct{})
+	once := sync.OnceFunc(func() { close(first) })
+	wg.Go(func() {
+		w := &recordingWriter{onNext: once}
+		_ = r.Dispatch(ctx, completion(fmt.Sprint("marker:online-", n), 100000, true), w)
+	})
+	<-first
+	return func() {
+		cancel()
+		wg.Wait()
+	}
+}
+
+func TestRunItem(t *testing.T) {
+	// Guards against items without answer, and against work that is not counted.
+	t.Run("an item is answered and its tokens are counted", func(t *testing.T) {
+		r := newRig(t, 1, 0)
+		result, err := r.RunItem(context.Background(), item("marker:b-1", 10))
+		assert.NilError(t, err)
+		assert.Equal(t, result.Tokens, 13) // 10 for the answer, 3 for the prompt.
+		assert.Equal(t, countTokens([]byte("12345678"), []byte("1234")), 3)
+		stream := []byte("data: {\"usage\":null}\n\ndata: {\"usage\":{\"total_tokens\":42}}\n\ndata: [DONE]\n\n")
+		assert.Equal(t, countTokens(nil, stream), 42)
+	})
+
+	// Guards against batch items that run without room, permit or route.
+	t.Run("no room, no permit, no batch route", func(t *testing.T) {
+		r := newRig(t, 1, 0)
+		r.permits.refused = true
+		_, err := r.RunItem(context.Background(), item("marker:b-1", 10))
+		assert.ErrorIs(t, err, ErrNoRoom)
+		r.permits.refused = false
+		i := item("marker:b-1", 10)
+		i.Route.Batch = false
+		_, err = r.RunItem(context.Background(), i)
+		var refusal *refuser.Refusal
+		assert.Assert(t, errors.As(err, &refusal) && refusal.Code == refuser.RouteNotBatchable)
+		runs := r.startItems(t, 4)
+		_, err = r.RunItem(context.Background(), item("marker:b-9", 10))
+		assert.ErrorIs(t, err, ErrNoRoom)
+		assertReceived(t, r, "b-9", 0)
+		r.Yield("engine-0")
+		assertYielded(t, runs[3])
+		r.displacer.displaceAll("engine-0")
+	})
+
+	// Guards against batch items that slow an online request down, and against
+	// more of them ending than must.
+	t.Run("the newest items yield to online work", func(t *testing.T) {
+		r := newRig(t, 1, 0)
+		runs := r.startItems(t, 3)
+		end := r.startStream(t, 1)
+		assert.Assert(t, !runs[2].ended(), "an item yielded although there was room")
+		end2 := r.startStream(t, 2)
+		assertYielded(t, runs[2])
+		assert.Assert(t, !runs[0].ended() && !runs[1].ended())
+		waitFor(t, "the engine to drop the item", func() bool { return r.running() == 4 })
+		assert.Equal(t, len(r.yields), 0)
+
+		r.fleet.SetPeerLoads("entry-2", nil, time.Now().Add(time.Hour))
+		s, _ := r.fleet.Server("engine-0")
+		r.fleet.SetPeerLoads("entry-2", peerBatch(3), time.Now().Add(time.Hour))
+		assert.Equal(t, s.Load().Excess(), 3)
+		end3 := r.startStream(t, 3)
+		assert.Equal(t, <-r.yields, "engine-0", "the peers were not told")
+		assertYielded(t, runs[0])
+		assertYielded(t, runs[1])
+		end()
+		end2()
+		end3()
+	})
+
+	// Guards against items that run on after their permit went to another entry.
+	t.Run("an expired permit ends the item", func(t *testing.T) {
+		r := newRig(t, 1, 0)
+		r.permits.set(time.Now().Add(100 * time.Millisecond))
+		run := r.startItem(item("marker:b-1", 100000))
+		waitFor(t, "the item to run", func() bool { return r.running() == 1 })
+		r.permits.set(time.Now().Add(200 * time.Millisecond))
+		assertYielded(t, run)
+	})
+
+	// Guards against an item that crashes engines for ever.
+	t.Run("a crash item is quarantined", func(t *testing.T) {
+		r := newRig(t, 4, 0)
+		for _, e := range r.engines {
+			e.SetFault(engineemulator.Fault{DieOn: "poison"})
+		}
+		var last error
+		for range 4 {
+			_, last = r.RunItem(context.Background(), item("poison", 10))
+		}
+		var refusal *refuser.Refusal
+		assert.Assert(t, errors.As(last, &refusal) && refusal.Code == refuser.RequestQuarantined, "error %v", last)
+		assertReceived(t, r, "poison", 2)
+	})
+}
--- /dev/null
+++ b/internal/dispatcher/tokens.go
@@ -0,0 +1,46 @@
+package dispatcher
+
+import (
+	"bytes"
+	"encoding/json"
+)
+
+// bytesPerToken estimates tokens where the engine reports none.
+const bytesPerToken = 4
+
+// A usageReport is the part of an answer that counts its tokens.
+type usageReport struct {
+	Usage struct {
+		TotalTokens int `json:"total_tokens"`
+	} `json:"usage"`
+}
+
+// countTokens is the work of an item: what the engine reports, or an estimate
+// from the lengths of prompt and answer.
+func countTokens(request, answer []byte) int {
+	if n := reportedTokens(answer); n > 0 {
+		return n
+	}
+	return (len(request) + len(answer)) / bytesPerToken
+}
+
+// reportedTokens reads the usage of a whole answer, or of the last event of a
+// stream that has one.
+func reportedTokens(answer []byte) int {
+	var report usageReport
+	if json.Unmarshal(answer, &report) == nil {
+		return report.Usage.TotalTokens
+	}
+	n := 0
+	for line := range bytes.Lines(answer) {
+		data, ok := bytes.CutPrefix(bytes.TrimSpace(line), []byte("data:"))
+		if !ok || !bytes.Contains(data, []byte(`"usage"`)) {
+			continue
+		}
+		var report usageReport
+		if json.Unmarshal(data, &report) == nil && report.Usage.TotalTokens > 0 {
+			n = report.Usage.TotalTokens
+		}
+	}
+	return n
+}
--- a/pkg/refuser/refuser.go
+++ b/pkg/refuser/refuser.go
@@ -24,6 +24,7 @@
 	AlreadyRan          Code = "already-ran"
 	BadRequest          Code = "bad-request"
 	BodyTooLarge        Code = "body-too-large"
+	CallerGone          Code = "caller-gone" // Counted, never sent.
 	DeadlineExceeded    Code = "deadline-exceeded"
 	Draining            Code = "draining"
 	HeaderTooLarge      Code = "header-too-large"
--- a/pkg/refuser/status.go
+++ b/pkg/refuser/status.go
@@ -8,6 +8,7 @@
 	AlreadyRan:          409,
 	BadRequest:          400,
 	BodyTooLarge:        413,
+	CallerGone:          499,
 	DeadlineExceeded:    504,
 	Draining:            503,
 	HeaderTooLarge:      431,
