--- /dev/null
+++ b/internal/acceptor/completion.go
@@ -0,0 +1,86 @@
+package acceptor
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"unicode/utf8"
+
+	"github.com/quetzalhitch/quetzalhitch/pkg/refuser"
+)
+
+// prefixBytes is the length of the prompt's start that names the engine. It
+// covers a short system message and the start of the conversation, so that the
+// next turn of a conversation goes to the engine that has it in its cache.
+const prefixBytes = 512
+
+// A Completion is what routing needs from the body of a completion request.
+type Completion struct {
+	Model  string
+	Stream bool
+	Prefix string // Start of messages or prompt, as it stands in the body.
+}
+
+func badRequest(message string) *refuser.Refusal {
+	return refuser.New(refuser.BadRequest, refuser.NotRun, message)
+}
+
+// ParseCompletion reads the body of a completion request. A field that occurs
+// twice is refused: engines disagree on which one counts, and the request
+// could run with another model than the one that was checked.
+func ParseCompletion(body []byte) (c Completion, refusal *refuser.Refusal) {
+	if !utf8.Valid(body) {
+		return c, badRequest("the body is not valid UTF-8")
+	}
+	fields, refusal := topFields(body)
+	if refusal != nil {
+		return c, refusal
+	}
+	if raw, ok := fields["model"]; ok && json.Unmarshal(raw, &c.Model) != nil {
+		return c, badRequest("the model is not a string")
+	}
+	if raw, ok := fields["stream"]; ok && json.Unmarshal(raw, &c.Stream) != nil {
+		return c, badRequest("the field stream is not true or false")
+	}
+	prompt := fields["messages"]
+	if prompt == nil {
+		prompt = fields["prompt"]
+	}
+	c.Prefix = string(prompt[:min(len(prompt), prefixBytes)])
+	return c, nil
+}
+
+// topFields splits a JSON object into its fields.
+func topFields(body []byte) (map[string]json.RawMessage, *refuser.Refusal) {
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	start, err := decoder.Token()
+	if err != nil {
+		return nil, badRequest("the body is not valid JSON")
+	}
+	if start != json.Delim('{') {
+		return nil, badRequest("the body is not a JSON object")
+	}
+	fields := map[string]json.RawMessage{}
+	for decoder.More() {
+		name, err := decoder.Token()
+		if err != nil {
+			return nil, badRequest("the body is not valid JSON")
+		}
+		var value json.RawMessage
+		if err := decoder.Decode(&value); err != nil {
+			return nil, badRequest("the body is not valid JSON")
+		}
+		key := name.(string) // The decoder gives only strings as names.
+		if _, ok := fields[key]; ok {
+			return nil, badRequest("a field of the body occurs twice")
+		}
+		fields[key] = value
+	}
+	if _, err := decoder.Token(); err != nil {
+		return nil, badRequest("the body is not valid JSON")
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return nil, badRequest("something follows the JSON object")
+	}
+	return fields, nil
+}
--- a/internal/sender/prober.go
+++ b/internal/sender/prober.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/sourcegraph/conc/panics"
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/quetzalhitch/quetzalhitch/internal/registrar"
@@ -103,18 +104,18 @@
 func (p *Prober) Start(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
 	go func() {
-		done <- p.run(ctx)
+		done <- panics.Try(func() { p.run(ctx) }).AsError()
 	}()
 	return done
 }
 
-func (p *Prober) run(ctx context.Context) error {
+func (p *Prober) run(ctx context.Context) {
 	for {
 		p.round(ctx)
 		select {
 		case <-p.cfg.Clock.After(p.cfg.Interval):
 		case <-ctx.Done():
-			return nil
+			return
 		}
 	}
 }
--- a/pkg/refuser/refuser.go
+++ b/pkg/refuser/refuser.go
@@ -30,6 +30,7 @@
 	HeaderTooLarge      Code = "header-too-large"
 	IdempotencyConflict Code = "idempotency-conflict"
 	InDoubt             Code = "in-doubt"
+	Internal            Code = "internal"
 	JobConflict         Code = "job-conflict"
 	JobNotFound         Code = "job-not-found"
 	KeyInBody           Code = "key-in-body"
--- a/pkg/refuser/status.go
+++ b/pkg/refuser/status.go
@@ -14,6 +14,7 @@
 	HeaderTooLarge:      431,
 	IdempotencyConflict: 422,
 	InDoubt:             409,
+	Internal:            500,
 	JobConflict:         409,
 	JobNotFound:         404,
 	KeyInBody:           400,
