--- a/pkg/refuser/refuser.go
+++ b/pkg/refuser/refuser.go
@@ -24,11 +24,13 @@
 	AlreadyRan          Code = "already-ran"
 	BadRequest          Code = "bad-request"
 	BodyTooLarge        Code = "body-too-large"
+	CallerGone          Code = "caller-gone" // Counted, never sent.
 	DeadlineExceeded    Code = "deadline-exceeded"
 	Draining            Code = "draining"
 	HeaderTooLarge      Code = "header-too-large"
 	IdempotencyConflict Code = "idempotency-conflict"
 	InDoubt             Code = "in-doubt"
+	Internal            Code = "internal"
 	JobConflict         Code = "job-conflict"
 	JobNotFound         Code = "job-not-found"
 	KeyInBody           Code = "key-in-body"
