feat: one link address for each entry in the harness

The platform's list gives one link address for an entry, the same for all peers. With a relay address of its own for each pair, an entry that follows the list would leave the relays. Peers therefore know an entry by one UDP address, behind which the relay is chosen by the sending process, as it is for backend servers.

The settings follow the keys that internal/configurer reads (seed, ca-file, certificate-file, key-file). The harness fills the platform's list and sets the faults of its stand-in, which the emulator command now runs.

--- a/cmd/emulator/main.go
+++ b/cmd/emulator/main.go
@@ -38,6 +38,11 @@
 	Start(ctx context.Context) (address string, done <-chan error, err error)
 }
 
+// A controlled server has a second address for tests that set its faults.
+type controlled interface {
+	ControlAddress() string // Set once the server has started.
+}
+
 // A stand is a subcommand with its parsed arguments.
 type stand interface {
 	server() server
@@ -51,7 +56,8 @@
 
 // listening holds the addresses of a process.
 type listening struct {
-	HTTP string `json:"http"`
+	HTTP    string `json:"http"`
+	Control string `json:"control,omitempty"`
 }
 
 func main() {
@@ -101,11 +107,15 @@
 		}
 	}()
 
-	address, done, err := cmd.server().Start(ctx)
+	s := cmd.server()
+	address, done, err := s.Start(ctx)
 	if err != nil {
 		return err
 	}
 	line := report{Listening: listening{HTTP: address}}
+	if c, ok := s.(controlled); ok {
+		line.Listening.Control = c.ControlAddress()
+	}
 	if err := json.NewEncoder(stdout).Encode(line); err != nil {
 		return err
 	}
--- a/internal/tester/backendserver.go
+++ b/internal/tester/backendserver.go
@@ -90,14 +90,12 @@
 // ChooseRelay implements relayChooser. Connections that come from no entry,
 // such as those of a test, reach the server directly.
 func (b *BackendServerProcess) ChooseRelay(client, server netip.AddrPort) (address string, err error) {
-	inode, err := socketInode(client, server)
+	inode, err := tcpSocket(client, server)
 	if err != nil {
 		return "", err
 	}
-	for _, e := range b.deployment.Entries {
-		if p := e.Process(); p != nil && ownsSocket(p.PID, inode) {
-			return b.relays[e.FailureDomain].Address, nil
-		}
+	if e := b.deployment.ownerOf(inode); e != nil {
+		return b.relays[e.FailureDomain].Address, nil
 	}
 	return b.Addresses().HTTP, nil
 }
--- a/internal/tester/deployment.go
+++ b/internal/tester/deployment.go
@@ -118,7 +118,7 @@
 
 func (d *Deployment) prepareEntries(ctx context.Context) error {
 	for _, cfg := range d.cfg.Entries {
-		e, err := newEntryProcess(d, cfg)
+		e, err := newEntryProcess(ctx, d, cfg)
 		if err != nil {
 			return err
 		}
@@ -127,36 +127,43 @@
 		domain := d.FailureDomain(e.FailureDomain)
 		domain.Entries = append(domain.Entries, e)
 	}
-	for _, from := range d.Entries {
-		for _, to := range d.Entries {
-			if from == to {
-				continue
-			}
-			if err := d.openLink(ctx, from, to); err != nil {
-				return err
-			}
+	for _, e := range d.Entries {
+		if err := d.openLinks(ctx, e); err != nil {
+			return err
 		}
-		if err := from.Settings.write(from.settingsPath); err != nil {
+		e.Settings.Seeds = d.seeds()
+		if err := e.Settings.write(e.settingsPath); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// openLink opens the relay through which one entry dials another one.
-func (d *Deployment) openLink(ctx context.Context, from, to *EntryProcess) error {
-	r, err := NewUDPRelay(ctx, from.ID+"-to-"+to.ID, d.cfg.Seed+uint64(len(d.udpRelays)))
-	if err != nil {
-		return err
+// seeds returns the list of entries, which is the same for all.
+func (d *Deployment) seeds() (all []SeedSettings) {
+	for _, e := range d.Entries {
+		all = append(all, SeedSettings{ID: e.ID, Address: e.LinkRouter.Address, FailureDomain: e.FailureDomain})
 	}
-	if from.FailureDomain != to.FailureDomain {
-		r.setDistance(d.cfg.Distance)
+	return all
+}
+
+// openLinks opens the relays through which the other entries dial an entry.
+func (d *Deployment) openLinks(ctx context.Context, to *EntryProcess) error {
+	for _, from := range d.Entries {
+		if from == to {
+			continue
+		}
+		r, err := NewUDPRelay(ctx, from.ID+"-to-"+to.ID, d.cfg.Seed+uint64(len(d.udpRelays)))
+		if err != nil {
+			return err
+		}
+		if from.FailureDomain != to.FailureDomain {
+			r.setDistance(d.cfg.Distance)
+		}
+		to.incoming[from.ID] = r
+		d.udpRelays = append(d.udpRelays, r)
+		d.Ways = append(d.Ways, &Way{From: from.FailureDomain, To: to.FailureDomain, Relay: r})
 	}
-	d.udpRelays = append(d.udpRelays, r)
-	d.Ways = append(d.Ways, &Way{From: from.FailureDomain, To: to.FailureDomain, Relay: r})
-	to.incoming = append(to.incoming, r)
-	peer := PeerSettings{ID: to.ID, Address: r.Address, FailureDomain: to.FailureDomain}
-	from.Settings.Peers = append(from.Settings.Peers, peer)
 	return nil
 }
 
@@ -207,7 +214,20 @@
 	for _, e := range d.Entries {
 		entries.Go(e.start)
 	}
-	return entries.Wait()
+	if err := entries.Wait(); err != nil {
+		return err
+	}
+	return d.listInstances(ctx)
+}
+
+// ownerOf returns the entry that has a socket open, nil when there is none.
+func (d *Deployment) ownerOf(inode string) *EntryProcess {
+	for _, e := range d.Entries {
+		if p := e.Process(); p != nil && ownsSocket(p.PID, inode) {
+			return e
+		}
+	}
+	return nil
 }
 
 // FailureDomain returns a failure domain, nil when there is none of the name.
--- a/internal/tester/deployment_test.go
+++ b/internal/tester/deployment_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -9,6 +10,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/quetzalhitch/quetzalhitch/internal/emulator/platformemulator"
+	"github.com/quetzalhitch/quetzalhitch/internal/storer"
 	"github.com/quetzalhitch/quetzalhitch/pkg/declarer"
 )
 
@@ -128,6 +131,30 @@
 	})
 }
 
+// Guards against an instance list that leads entries past the relays, and
+// against faults of the platform that the harness cannot set or end.
+func TestDeploymentPlatform(t *testing.T) {
+	d := toyDeployment(t, nil)
+	platform := storer.NewClient(storer.ClientConfig{Address: d.Entry("entry-a").PlatformRelay.Address})
+	rows, err := platform.ListInstances(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, len(rows), len(d.Entries)+len(d.BackendServers))
+	for _, row := range rows {
+		if row.ID == "entry-b" {
+			assert.Equal(t, row.LinkAddress, d.Entry("entry-b").Settings.Seeds[1].Address)
+		}
+	}
+
+	assert.NilError(t, d.Platform.SetFaults(t.Context(), platformemulator.Faults{Outage: platformemulator.OutageRefuse}))
+	_, err = platform.ListInstances(t.Context())
+	assert.Assert(t, errors.Is(err, storer.ErrUnavailable) || errors.Is(err, storer.ErrUnknownEffect), "%v", err)
+	assert.NilError(t, d.Platform.SetFaults(t.Context(), platformemulator.Faults{}))
+	Eventually(t, testLimit, "an answer of the platform", func() error {
+		_, err := platform.ListInstances(t.Context())
+		return err
+	})
+}
+
 // Guards against ends and restarts after which others cannot find a process,
 // or after which a dead server seems to accept connections.
 func TestDeploymentEndsAndRestarts(t *testing.T) {
--- a/internal/tester/entry.go
+++ b/internal/tester/entry.go
@@ -1,6 +1,8 @@
 package tester
 
 import (
+	"context"
+	"net/netip"
 	"path/filepath"
 
 	"github.com/ansel1/merry/v2"
@@ -22,13 +24,15 @@
 	member
 
 	PlatformRelay *TCPRelay
-	Settings      Settings // Rewritten at each start.
+	LinkRouter    *UDPRelay // Its address is the one at which all peers know the entry.
+	Settings      Settings
 
+	deployment   *Deployment
 	settingsPath string
-	incoming     []*UDPRelay // Relays through which peers reach the entry.
+	incoming     map[string]*UDPRelay // Relays behind the router, by the ID of the peer that dials.
 }
 
-func newEntryProcess(d *Deployment, cfg EntryConfig) (e *EntryProcess, err error) {
+func newEntryProcess(ctx context.Context, d *Deployment, cfg EntryConfig) (e *EntryProcess, err error) {
 	defer func() {
 		if err != nil {
 			err = merry.Prependf(err, "prepare entry %s", cfg.ID)
@@ -45,12 +49,18 @@
 	}
 	e = &EntryProcess{
 		EntryConfig:  cfg,
+		deployment:   d,
+		incoming:     make(map[string]*UDPRelay),
 		settingsPath: filepath.Join(d.cfg.Folder, cfg.ID+".toml"),
 	}
 	if e.PlatformRelay, err = NewTCPRelay(cfg.ID+"-to-platform", ""); err != nil {
 		return nil, err
 	}
 	d.tcpRelays = append(d.tcpRelays, e.PlatformRelay)
+	if e.LinkRouter, err = NewUDPSourceRouter(ctx, "links-to-"+cfg.ID, e); err != nil {
+		return nil, err
+	}
+	d.udpRelays = append(d.udpRelays, e.LinkRouter)
 	e.Settings = d.entrySettings(cfg, domain, certificate)
 	e.Settings.PlatformAddress = e.PlatformRelay.Address
 	e.command = Command{
@@ -86,6 +96,19 @@
 	return s
 }
 
+// ChooseTarget implements targetChooser. Datagrams that come from no entry,
+// such as those of a test, reach the entry directly.
+func (e *EntryProcess) ChooseTarget(client netip.AddrPort) (address string, err error) {
+	inode, err := udpSocket(client)
+	if err != nil {
+		return "", err
+	}
+	if peer := e.deployment.ownerOf(inode); peer != nil && peer != e {
+		return e.incoming[peer.ID].Address, nil
+	}
+	return e.Addresses().Link, nil
+}
+
 // setTargets leads the relays of peers to a new run.
 func (e *EntryProcess) setTargets(a Addresses) error {
 	for _, r := range e.incoming {
--- a/internal/tester/faults.go
+++ b/internal/tester/faults.go
@@ -131,13 +131,17 @@
 }
 
 // Restart kills a process if it runs and starts it again. Others reach it at
-// the same address as before; an entry's own HTTP address is a new one.
+// the same address as before; an entry's own HTTP address is a new one. The
+// platform's stand-in forgets what it held, except the list of instances.
 func (d *Deployment) Restart(ctx context.Context, name string) error {
 	m, err := d.member(name)
 	if err != nil {
 		return err
 	}
-	return m.Restart(ctx)
+	if err = m.Restart(ctx); err != nil || name != platformName {
+		return err
+	}
+	return d.listInstances(ctx)
 }
 
 // KillDomain ends all processes of a failure domain, as a loss of power does.
--- a/internal/tester/output.go
+++ b/internal/tester/output.go
@@ -15,8 +15,9 @@
 
 // Addresses are what a process reports when it listens.
 type Addresses struct {
-	HTTP string `json:"http"`
-	Link string `json:"link"` // UDP; empty for processes without links.
+	Control string `json:"control"` // Empty for processes without controls.
+	HTTP    string `json:"http"`
+	Link    string `json:"link"` // UDP; empty for processes without links.
 }
 
 // A listeningReport is the line on stdout with which a process says that it
--- a/internal/tester/platform.go
+++ b/internal/tester/platform.go
@@ -1,6 +1,17 @@
 package tester
 
-import "github.com/ansel1/merry/v2"
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/emulator/platformemulator"
+	"github.com/quetzalhitch/quetzalhitch/internal/storer"
+)
 
 // platformName is the name of the platform's process.
 const platformName = "platform"
@@ -43,3 +54,86 @@
 		r.Refuse()
 	}
 }
+
+// SetFaults replaces the faults of the platform's stand-in for all clients.
+func (p *PlatformProcess) SetFaults(ctx context.Context, f platformemulator.Faults) error {
+	return p.control(ctx, http.MethodPost, platformemulator.PathFault, f)
+}
+
+// SetInstance adds an instance to the platform's list or replaces it.
+func (p *PlatformProcess) SetInstance(ctx context.Context, row storer.ListedInstance) error {
+	return p.control(ctx, http.MethodPut, instancePath(row.ID), row)
+}
+
+// RemoveInstance takes an instance out of the platform's list.
+func (p *PlatformProcess) RemoveInstance(ctx context.Context, id string) error {
+	return p.control(ctx, http.MethodDelete, instancePath(id), nil)
+}
+
+func instancePath(id string) string {
+	return storer.PathInstances + "/" + url.PathEscape(id)
+}
+
+// control calls the controls of the stand-in past all relays.
+func (p *PlatformProcess) control(ctx context.Context, method, path string, content any) (err error) {
+	defer func() {
+		if err != nil {
+			err = merry.Prependf(err, "%s %s at the platform", method, path)
+		}
+	}()
+
+	body, err := json.Marshal(content)
+	if err != nil {
+		return err
+	}
+	address := "http://" + p.Addresses().Control + path
+	req, err := http.NewRequestWithContext(ctx, method, address, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	status, answer, err := call(req)
+	if err == nil && status != http.StatusOK {
+		err = merry.Errorf("status %d: %s", status, answer)
+	}
+	return err
+}
+
+// listInstances lists all entries and backend servers as live, at the
+// addresses of their relays.
+func (d *Deployment) listInstances(ctx context.Context) error {
+	for _, e := range d.Entries {
+		if err := d.Platform.SetInstance(ctx, e.Row()); err != nil {
+			return err
+		}
+	}
+	for _, b := range d.BackendServers {
+		if err := d.Platform.SetInstance(ctx, b.Row()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Row returns the entry's row in the platform's list.
+func (e *EntryProcess) Row() storer.ListedInstance {
+	return storer.ListedInstance{
+		ID:            e.ID,
+		Role:          storer.RoleEntry,
+		State:         storer.InstanceLive,
+		FailureDomain: e.FailureDomain,
+		LinkAddress:   e.LinkRouter.Address,
+		HTTPAddress:   e.Addresses().HTTP,
+		Disk:          e.Disk,
+	}
+}
+
+// Row returns the backend server's row in the platform's list.
+func (b *BackendServerProcess) Row() storer.ListedInstance {
+	return storer.ListedInstance{
+		ID:            b.Name,
+		Role:          storer.RoleBackendServer,
+		State:         storer.InstanceLive,
+		FailureDomain: b.FailureDomain,
+		HTTPAddress:   b.Address,
+	}
+}
--- a/internal/tester/proc.go
+++ b/internal/tester/proc.go
@@ -16,7 +16,7 @@
 // stateStopped is the state of a process after SIGSTOP in /proc/<pid>/stat.
 const stateStopped = 'T'
 
-// Columns of /proc/net/tcp.
+// Columns of /proc/net/tcp and /proc/net/udp.
 const (
 	columnLocal  = 1
 	columnRemote = 2
@@ -37,26 +37,46 @@
 	return rest[0]
 }
 
-// socketInode returns the inode of the local socket with the given ends.
-func socketInode(local, remote netip.AddrPort) (inode string, err error) {
+// tcpSocket returns the inode of the local TCP socket with the given ends.
+func tcpSocket(local, remote netip.AddrPort) (inode string, err error) {
+	return findSocket("/proc/net/tcp", []netip.AddrPort{local}, remote)
+}
+
+// udpSocket returns the inode of the UDP socket that sends from an address. A
+// socket that is not connected may be bound to all addresses.
+func udpSocket(local netip.AddrPort) (inode string, err error) {
+	everywhere := netip.AddrPortFrom(netip.IPv4Unspecified(), local.Port())
+	return findSocket("/proc/net/udp", []netip.AddrPort{local, everywhere}, netip.AddrPort{})
+}
+
+// findSocket looks for a socket with one of the local ends. An invalid remote
+// end matches any.
+func findSocket(path string, locals []netip.AddrPort, remote netip.AddrPort) (inode string, err error) {
 	defer func() {
 		if err != nil {
-			err = merry.Prependf(err, "find the socket from %s to %s", local, remote)
+			err = merry.Prependf(err, "find the socket from %s to %s", locals[0], remote)
 		}
 	}()
 
-	file, err := os.Open("/proc/net/tcp")
+	file, err := os.Open(path) //nolint:gosec // One of two constants.
 	if err != nil {
 		return "", err
 	}
 	defer func() { _ = file.Close() }()
 
-	localText, remoteText := procAddress(local), procAddress(remote)
 	lines := bufio.NewScanner(file)
 	for lines.Scan() {
 		columns := strings.Fields(lines.Text())
-		if len(columns) > columnInode && columns[columnLocal] == localText && columns[columnRemote] == remoteText {
-			return columns[columnInode], nil
+		if len(columns) <= columnInode {
+			continue
+		}
+		if remote.IsValid() && columns[columnRemote] != procAddress(remote) {
+			continue
+		}
+		for _, local := range locals {
+			if columns[columnLocal] == procAddress(local) {
+				return columns[columnInode], nil
+			}
 		}
 	}
 	if err := lines.Err(); err != nil {
--- a/internal/tester/settings.go
+++ b/internal/tester/settings.go
@@ -27,14 +27,14 @@
 
 	TLS          TLSSettings           `toml:"tls"`
 	Experimental *ExperimentalSettings `toml:"experimental,omitempty"`
-	Peers        []PeerSettings        `toml:"peer"`
+	Seeds        []SeedSettings        `toml:"seed"`
 }
 
 // TLSSettings names the files of an instance's certificate.
 type TLSSettings struct {
-	CA          string `toml:"ca"`
-	Certificate string `toml:"certificate"`
-	Key         string `toml:"key"`
+	CA          string `toml:"ca-file"`
+	Certificate string `toml:"certificate-file"`
+	Key         string `toml:"key-file"`
 }
 
 // ExperimentalSettings chooses behaviour that exists only to be measured
@@ -43,8 +43,9 @@
 	Baseline string `toml:"baseline"`
 }
 
-// PeerSettings is a peer of an entry. The address is that of a relay.
-type PeerSettings struct {
+// SeedSettings is an entry that all entries know from the start. The address
+// is that of its relay.
+type SeedSettings struct {
 	ID            string `toml:"id"`
 	Address       string `toml:"address"`
 	FailureDomain string `toml:"failure-domain"`
--- a/internal/tester/settings_test.go
+++ b/internal/tester/settings_test.go
@@ -21,9 +21,9 @@
 		`failure-domain = "a"`,
 		`platform-address = "` + d.Entry("entry-a").PlatformRelay.Address + `"`,
 		`operator-key-digests = ["` + d.KeyDigest(d.OperatorKey) + `"]`,
-		"[tls]",
+		"[tls]\n  ca-file = ",
 		"[experimental]\n  baseline = \"round-robin\"",
-		"[[peer]]\n  id = \"entry-b\"",
+		"[[seed]]\n  id = \"entry-b\"",
 	} {
 		assert.Assert(t, cmp.Contains(string(content), want))
 	}
--- a/internal/tester/toyentry_test.go
+++ b/internal/tester/toyentry_test.go
@@ -84,7 +84,7 @@
 
 // ping exchanges a datagram with a peer.
 func (e *toyEntry) ping(target string) error {
-	for _, p := range e.settings.Peers {
+	for _, p := range e.settings.Seeds {
 		if p.ID != target {
 			continue
 		}
--- a/internal/tester/udprelay.go
+++ b/internal/tester/udprelay.go
@@ -34,6 +34,11 @@
 	DropRate float64       // Part of the datagrams that is lost, in [0, 1].
 }
 
+// A targetChooser finds the target for the datagrams of a client.
+type targetChooser interface {
+	ChooseTarget(client netip.AddrPort) (address string, err error)
+}
+
 // A UDPRelay is a relay for the datagrams of one link that injects faults.
 // Each client address has a session of its own towards the target.
 type UDPRelay struct {
@@ -41,6 +46,7 @@
 	Address string
 
 	conn    *net.UDPConn
+	chooser targetChooser // Nil when all clients have the same target.
 	cancel  context.CancelFunc
 	workers conc.WaitGroup
 
@@ -69,6 +75,16 @@
 // NewUDPRelay returns a relay that listens. The seed decides which datagrams
 // a drop rate loses. The relay ends with ctx.
 func NewUDPRelay(ctx context.Context, name string, seed uint64) (r *UDPRelay, err error) {
+	return newUDPRelay(ctx, name, seed, nil)
+}
+
+// NewUDPSourceRouter returns a relay that leads each client to a target of its
+// own, which the chooser finds at the first datagram.
+func NewUDPSourceRouter(ctx context.Context, name string, chooser targetChooser) (r *UDPRelay, err error) {
+	return newUDPRelay(ctx, name, 0, chooser)
+}
+
+func newUDPRelay(ctx context.Context, name string, seed uint64, chooser targetChooser) (r *UDPRelay, err error) {
 	defer func() {
 		if err != nil {
 			err = merry.Prependf(err, "open UDP relay %s", name)
@@ -85,6 +101,7 @@
 		Name:     name,
 		Address:  conn.LocalAddr().String(),
 		conn:     conn,
+		chooser:  chooser,
 		sessions: make(map[netip.AddrPort]*session),
 	}
 	for d := range r.random {
@@ -175,17 +192,36 @@
 	}
 }
 
-// session returns the session of a client, nil while there is no target.
+// session returns the session of a client, nil while there is no target. Only
+// the reader of clients opens sessions.
 func (r *UDPRelay) session(ctx context.Context, client netip.AddrPort) *session {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	if s, ok := r.sessions[client]; ok {
+	s, ok := r.sessions[client]
+	target := r.target
+	r.mu.Unlock()
+	if ok {
 		return s
 	}
-	if !r.target.IsValid() || ctx.Err() != nil {
+	if r.chooser != nil {
+		address, err := r.chooser.ChooseTarget(client)
+		if err != nil {
+			return nil
+		}
+		target, _ = netip.ParseAddrPort(address)
+	}
+	if !target.IsValid() {
+		return nil
+	}
+	return r.openSession(ctx, client, target)
+}
+
+func (r *UDPRelay) openSession(ctx context.Context, client, target netip.AddrPort) *session {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if ctx.Err() != nil || (r.chooser == nil && target != r.target) {
 		return nil
 	}
-	upstream, err := net.DialUDP("udp4", nil, net.UDPAddrFromAddrPort(r.target))
+	upstream, err := net.DialUDP("udp4", nil, net.UDPAddrFromAddrPort(target))
 	if err != nil {
 		return nil
 	}
