--- a/internal/emulator/engineemulator/order.go
+++ b/internal/emulator/engineemulator/order.go
@@ -18,12 +18,19 @@
 
 // An Order changes what the engine serves.
 type Order struct {
-	Kind          string `json:"kind"`
-	Model         string `json:"model,omitempty"`
-	Version       string `json:"version,omitempty"`
-	Adapter       string `json:"adapter,omitempty"`
-	Role          string `json:"role,omitempty"`
-	FencingNumber int64  `json:"fencing-number"`
+	Kind          string   `json:"kind"`
+	Model         string   `json:"model,omitempty"`
+	Version       string   `json:"version,omitempty"`
+	Adapters      []string `json:"adapters,omitempty"`
+	Role          string   `json:"role,omitempty"`
+	FencingNumber int64    `json:"fencing-number"`
+}
+
+// A LoadedModel is a model that the engine serves.
+type LoadedModel struct {
+	Name     string   `json:"name"`
+	Version  string   `json:"version,omitempty"`
+	Adapters []string `json:"adapters,omitempty"`
 }
 
 // A Verdict is the answer to an order.
@@ -38,7 +45,7 @@
 	cfg Config
 
 	mu      sync.Mutex
-	models  []string
+	loaded  []LoadedModel
 	any     bool // No models were configured: every model is served.
 	role    string
 	highest int64
@@ -47,19 +54,27 @@
 
 // An orderReport is the answer to GET /orders.
 type orderReport struct {
-	Models []string `json:"models"`
-	Role   string   `json:"role"`
-	Orders []Order  `json:"orders"`
+	Loaded []LoadedModel `json:"loaded"`
+	Role   string        `json:"role"`
+	Orders []Order       `json:"orders"`
 }
 
 func newOrderBook(cfg Config) *orderBook {
-	return &orderBook{cfg: cfg, models: slices.Clone(cfg.Models), any: len(cfg.Models) == 0}
+	b := &orderBook{cfg: cfg, any: len(cfg.Models) == 0}
+	for _, name := range cfg.Models {
+		b.loaded = append(b.loaded, LoadedModel{Name: name})
+	}
+	return b
 }
 
 func (b *orderBook) has(model string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.any || slices.Contains(b.models, model)
+	return b.any || b.find(model) >= 0
+}
+
+func (b *orderBook) find(model string) int {
+	return slices.IndexFunc(b.loaded, func(m LoadedModel) bool { return m.Name == model })
 }
 
 func (b *orderBook) order(w http.ResponseWriter, r *http.Request) {
@@ -96,12 +111,11 @@
 	defer b.mu.Unlock()
 	switch o.Kind {
 	case OrderLoad:
-		if !slices.Contains(b.models, o.Model) {
-			b.models = append(b.models, o.Model)
-		}
+		b.unload(o.Model)
+		b.loaded = append(b.loaded, LoadedModel{Name: o.Model, Version: o.Version, Adapters: o.Adapters})
 	case OrderUnload:
 		b.any = false
-		b.models = slices.DeleteFunc(b.models, func(m string) bool { return m == o.Model })
+		b.unload(o.Model)
 	case OrderRole:
 		b.role = o.Role
 	}
@@ -109,9 +123,13 @@
 	return Verdict{Accepted: true, HighestNumber: b.highest}
 }
 
+func (b *orderBook) unload(model string) {
+	b.loaded = slices.DeleteFunc(b.loaded, func(m LoadedModel) bool { return m.Name == model })
+}
+
 func (b *orderBook) list(w http.ResponseWriter, _ *http.Request) {
 	b.mu.Lock()
-	report := orderReport{Models: slices.Clone(b.models), Role: b.role, Orders: slices.Clone(b.done)}
+	report := orderReport{Loaded: slices.Clone(b.loaded), Role: b.role, Orders: slices.Clone(b.done)}
 	b.mu.Unlock()
 	emulator.WriteJSON(w, http.StatusOK, report)
 }
--- a/internal/recorder/bucket.go
+++ b/internal/recorder/bucket.go
@@ -26,9 +26,8 @@
 // An operation is a change that waits for the next write of its bucket.
 type operation struct {
 	kind    operationKind
-	ticket  Ticket
+	ticket  ticket
 	content string
-	state   State
 	answer  Answer
 	done    chan result // Holds one result; the sender never blocks.
 }
@@ -58,6 +57,23 @@
 
 	mu      sync.Mutex
 	pending []*operation
+	kept    map[string]ticket // Fresh intents of this process without an end, by ID.
+}
+
+// keep remembers a fresh intent until its end.
+func (b *bucket) keep(t ticket) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.kept[t.id] = t
+}
+
+// take forgets a fresh intent and returns its ticket.
+func (b *bucket) take(id string) (t ticket, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t, ok = b.kept[id]
+	delete(b.kept, id)
+	return t, ok
 }
 
 // submit queues op for the next write.
@@ -74,7 +90,7 @@
 
 // abandon removes an intent whose caller was refused before its write was
 // known: the write may still take effect, and the request never runs.
-func (b *bucket) abandon(t Ticket) {
+func (b *bucket) abandon(t ticket) {
 	b.submit(&operation{kind: cancel, ticket: t, done: make(chan result, 1)})
 }
 
@@ -175,33 +191,31 @@
 
 // apply changes records and reports whether it did.
 func (op *operation) apply(records map[string]*record, now time.Time) (res result, changed bool) {
-	rec, ok := records[op.ticket.ID]
-	mine := ok && rec.Attempt == op.ticket.Attempt
+	rec, ok := records[op.ticket.id]
+	mine := ok && rec.Attempt == op.ticket.attempt
 
 	switch {
 	case op.kind == begin && !ok:
-		records[op.ticket.ID] = &record{
+		records[op.ticket.id] = &record{
 			Content: op.content,
-			Attempt: op.ticket.Attempt,
+			Attempt: op.ticket.attempt,
 			State:   Running,
 			Begun:   now,
 		}
-		return result{decision: Decision{Verdict: Fresh, Ticket: op.ticket}}, true
+		return result{decision: Decision{Verdict: Fresh}}, true
 	case op.kind == begin:
 		return result{decision: rec.decide(op)}, false
 	case !mine:
 		return result{}, false
 	case op.kind == cancel:
-		delete(records, op.ticket.ID)
+		delete(records, op.ticket.id)
 		return result{}, true
 	case rec.State == Done:
 		return result{}, false
 	default:
-		rec.State = op.state
-		if op.state == Done {
-			answer := op.answer
-			rec.Answer = &answer
-		}
+		answer := op.answer
+		rec.State = Done
+		rec.Answer = &answer
 		return result{}, true
 	}
 }
@@ -211,8 +225,8 @@
 	switch {
 	case rec.Content != op.content:
 		return Decision{Verdict: Conflict}
-	case rec.Attempt == op.ticket.Attempt:
-		return Decision{Verdict: Fresh, Ticket: op.ticket}
+	case rec.Attempt == op.ticket.attempt:
+		return Decision{Verdict: Fresh}
 	case rec.State == Done && rec.Answer != nil:
 		return Decision{Verdict: Replay, Answer: *rec.Answer}
 	default:
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -34,9 +34,14 @@
 	retention = 24 * time.Hour
 )
 
-// ErrFull means that a bucket holds as many intents as fit in one platform
-// value.
-var ErrFull = merry.Sentinel("the bucket of the idempotency key is full")
+// Errors of intents.
+var (
+	// ErrFull means that a bucket holds as many intents as fit in one platform
+	// value.
+	ErrFull = merry.Sentinel("the bucket of the idempotency key is full")
+	// ErrNotBegun means that this process did not begin the intent.
+	ErrNotBegun = merry.Sentinel("the intent was not begun here")
+)
 
 // A State is the state of an intent.
 type State string
@@ -45,7 +50,6 @@
 const (
 	Running State = "running" // Dispatched, or about to be.
 	Done    State = "done"    // Ran to its end.
-	Unknown State = "unknown" // Dispatched, and the end was not seen.
 )
 
 // An Intent identifies a request that must not run twice.
@@ -77,14 +81,13 @@
 // A Decision is the result of Begin.
 type Decision struct {
 	Verdict Verdict
-	Ticket  Ticket // Set for Fresh.
 	Answer  Answer // Set for Replay.
 }
 
-// A Ticket is the right to dispatch a fresh intent once.
-type Ticket struct {
-	ID      string // Digest of workspace and key.
-	Attempt string // Unique to this dispatch.
+// A ticket is the right to dispatch a fresh intent once.
+type ticket struct {
+	id      string // Digest of workspace and key.
+	attempt string // Unique to this dispatch.
 }
 
 // A Store is the part of the platform that the recorder needs.
@@ -118,6 +121,7 @@
 		r.buckets[n].clock = clock
 		r.buckets[n].start = clock.Now()
 		r.buckets[n].wake = make(chan struct{}, 1)
+		r.buckets[n].kept = map[string]ticket{}
 	}
 	return r
 }
@@ -145,33 +149,37 @@
 		}
 	}()
 
-	ticket := Ticket{ID: intentID(i), Attempt: r.nextAttempt()}
+	t := ticket{id: intentID(i), attempt: r.nextAttempt()}
 	op := &operation{
 		kind:    begin,
-		ticket:  ticket,
+		ticket:  t,
 		content: i.ContentDigest,
 		done:    make(chan result, 1),
 	}
-	b := r.bucketOf(ticket.ID)
+	b := r.bucketOf(t.id)
 	b.submit(op)
 
 	select {
 	case res := <-op.done:
 		if res.err != nil && !errors.Is(res.err, ErrFull) {
-			b.abandon(ticket)
+			b.abandon(t)
+		}
+		if res.decision.Verdict == Fresh {
+			b.keep(t)
 		}
 		return res.decision, res.err
 	case <-ctx.Done():
-		b.abandon(ticket)
+		b.abandon(t)
 		return Decision{}, ctx.Err()
 	}
 }
 
-// Finish records the end of a dispatched intent. State Done keeps the answer.
-func (r *Recorder) Finish(ctx context.Context, t Ticket, state State, answer Answer) (err error) {
+// Finish records the answer of an intent that Begin called fresh here. An
+// intent without a recorded end stays in doubt, which is true.
+func (r *Recorder) Finish(ctx context.Context, i Intent, answer Answer) (err error) {
 	defer func() {
 		if err != nil {
-			err = merry.Prependf(err, "record the end of intent %.8s", t.ID)
+			err = merry.Prependf(err, "record the end of an intent of workspace %q", i.Workspace)
 		}
 	}()
 
@@ -179,24 +187,30 @@
 		answer.Body = nil
 		answer.Omitted = true
 	}
-	op := &operation{kind: finish, ticket: t, state: state, answer: answer, done: make(chan result, 1)}
-	return r.await(ctx, op)
+	return r.end(ctx, i, &operation{kind: finish, answer: answer, done: make(chan result, 1)})
 }
 
 // Cancel removes an intent whose request was surely not dispatched, so that a
 // resend may run.
-func (r *Recorder) Cancel(ctx context.Context, t Ticket) (err error) {
+func (r *Recorder) Cancel(ctx context.Context, i Intent) (err error) {
 	defer func() {
 		if err != nil {
-			err = merry.Prependf(err, "cancel intent %.8s", t.ID)
+			err = merry.Prependf(err, "cancel an intent of workspace %q", i.Workspace)
 		}
 	}()
 
-	return r.await(ctx, &operation{kind: cancel, ticket: t, done: make(chan result, 1)})
+	return r.end(ctx, i, &operation{kind: cancel, done: make(chan result, 1)})
 }
 
-func (r *Recorder) await(ctx context.Context, op *operation) error {
-	r.bucketOf(op.ticket.ID).submit(op)
+func (r *Recorder) end(ctx context.Context, i Intent, op *operation) error {
+	id := intentID(i)
+	b := r.bucketOf(id)
+	t, ok := b.take(id)
+	if !ok {
+		return ErrNotBegun
+	}
+	op.ticket = t
+	b.submit(op)
 	select {
 	case res := <-op.done:
 		return res.err
--- a/internal/recorder/recorder_test.go
+++ b/internal/recorder/recorder_test.go
@@ -93,7 +93,7 @@
 	second := startRecorder(t, "entry-2", store, clock)
 	order := Intent{Workspace: "packing", Key: "order-1", ContentDigest: "a"}
 
-	ticket := assertVerdict(t, first, order, Fresh).Ticket
+	assertVerdict(t, first, order, Fresh)
 
 	t.Run("while it runs", func(t *testing.T) {
 		assertVerdict(t, second, order, InDoubt)
@@ -105,7 +105,7 @@
 		assertVerdict(t, second, Intent{Workspace: "cellar", Key: "order-1", ContentDigest: "a"}, Fresh)
 	})
 	t.Run("after its end", func(t *testing.T) {
-		assert.NilError(t, first.Finish(context.Background(), ticket, Done, Answer{Status: 201, Body: []byte("booked")}))
+		assert.NilError(t, first.Finish(context.Background(), order, Answer{Status: 201, Body: []byte("booked")}))
 		d := assertVerdict(t, second, order, Replay)
 		assert.Equal(t, string(d.Answer.Body), "booked")
 	})
@@ -148,8 +148,8 @@
 	r := startRecorder(t, "entry-1", newFakeStore(), clockwork.NewFakeClock())
 	order := Intent{Workspace: "packing", Key: "order-1", ContentDigest: "a"}
 
-	ticket := assertVerdict(t, r, order, Fresh).Ticket
-	assert.NilError(t, r.Cancel(context.Background(), ticket))
+	assertVerdict(t, r, order, Fresh)
+	assert.NilError(t, r.Cancel(context.Background(), order))
 	assertVerdict(t, r, order, Fresh)
 }
 
--- a/pkg/refuser/refuser.go
+++ b/pkg/refuser/refuser.go
@@ -22,10 +22,13 @@
 // The codes of refusals.
 const (
 	AlreadyRan          Code = "already-ran"
+	ApplyInDoubt        Code = "apply-in-doubt"
+	ApplyRaced          Code = "apply-raced"
 	BadRequest          Code = "bad-request"
 	BodyTooLarge        Code = "body-too-large"
 	CallerGone          Code = "caller-gone" // Counted, never sent.
 	DeadlineExceeded    Code = "deadline-exceeded"
+	DeclarationRefused  Code = "declaration-refused"
 	Draining            Code = "draining"
 	HeaderTooLarge      Code = "header-too-large"
 	IdempotencyConflict Code = "idempotency-conflict"
@@ -46,6 +49,7 @@
 	RequestQuarantined  Code = "request-quarantined"
 	RouteNotBatchable   Code = "route-not-batchable"
 	RouteNotFound       Code = "route-not-found"
+	StorageUnavailable  Code = "storage-unavailable"
 	UpstreamFailed      Code = "upstream-failed"
 )
 
--- a/pkg/refuser/status.go
+++ b/pkg/refuser/status.go
@@ -6,10 +6,13 @@
 // statuses are the HTTP statuses of the codes.
 var statuses = map[Code]int{
 	AlreadyRan:          409,
+	ApplyInDoubt:        504,
+	ApplyRaced:          409,
 	BadRequest:          400,
 	BodyTooLarge:        413,
 	CallerGone:          499,
 	DeadlineExceeded:    504,
+	DeclarationRefused:  422,
 	Draining:            503,
 	HeaderTooLarge:      431,
 	IdempotencyConflict: 422,
@@ -30,6 +33,7 @@
 	RequestQuarantined:  422,
 	RouteNotBatchable:   400,
 	RouteNotFound:       404,
+	StorageUnavailable:  503,
 	UpstreamFailed:      502,
 }
 
