--- /dev/null
+++ b/internal/limiter/leaser/messages.go
@@ -0,0 +1,73 @@
+package leaser
+
+import (
+	"context"
+	"errors"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/limiter"
+	"github.com/quetzalhitch/quetzalhitch/internal/linker"
+)
+
+// A HandlerSet takes handlers of messages.
+type HandlerSet interface {
+	Handle(kind linker.Kind, h linker.Handler)
+}
+
+// Register registers the handlers of `borrow`, `return` and `promise`.
+func (l *Leaser) Register(s HandlerSet) {
+	s.Handle(linker.KindBorrow, borrowHandler{lender: l.lender})
+	s.Handle(linker.KindReturn, borrowHandler{lender: l.lender})
+	s.Handle(linker.KindPromise, promiseHandler{leaser: l})
+}
+
+// Borrow sends a batch to its lender, which may be this instance. It
+// implements limiter.LenderCaller.
+func (l *Leaser) Borrow(ctx context.Context, b *limiter.Batch) (answer limiter.BorrowAnswer, err error) {
+	if b.Lender == l.cfg.InstanceID {
+		return l.lender.Lend(l.cfg.InstanceID, b.Request), nil
+	}
+	kind := linker.KindReturn
+	if b.Wants() {
+		kind = linker.KindBorrow
+	}
+	err = l.cfg.Caller.Call(ctx, b.Lender, kind, b.Request, &answer)
+	if errors.Is(err, linker.ErrUnreachable) || errors.Is(err, linker.ErrTooLarge) {
+		err = merry.Wrap(limiter.ErrNotHandedOver, merry.WithCause(err))
+	}
+	return answer, err
+}
+
+// A borrowHandler answers `borrow` and `return`.
+type borrowHandler struct {
+	lender *limiter.Lender
+}
+
+// Handle implements linker.Handler.
+func (h borrowHandler) Handle(_ context.Context, sender string, payload []byte) (response []byte, err error) {
+	defer func() { err = merry.Prepend(err, "lend") }()
+
+	var request limiter.BorrowRequest
+	if err := linker.Unmarshal(payload, &request); err != nil {
+		return nil, err
+	}
+	return linker.Marshal(h.lender.Lend(sender, request))
+}
+
+// A promiseHandler answers `promise`.
+type promiseHandler struct {
+	leaser *Leaser
+}
+
+// Handle implements linker.Handler.
+func (h promiseHandler) Handle(_ context.Context, sender string, payload []byte) (response []byte, err error) {
+	defer func() { err = merry.Prepend(err, "promise") }()
+
+	var request PromiseRequest
+	if err := linker.Unmarshal(payload, &request); err != nil {
+		return nil, err
+	}
+	k := h.leaser.shard(request.Shard)
+	return linker.Marshal(PromiseAnswer{Promised: k != nil && k.promise(sender, request)})
+}
--- /dev/null
+++ b/internal/limiter/leaser/shard.go
@@ -0,0 +1,340 @@
+package leaser
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/limiter"
+	"github.com/quetzalhitch/quetzalhitch/internal/storer"
+)
+
+// A phase is what a shardKeeper is doing.
+type phase int
+
+// The phases of a shardKeeper.
+const (
+	phaseIdle        phase = iota // Another instance lends the shard, or none does.
+	phaseCampaigning              // A write of this instance's record is in flight or its effect is not known.
+	phaseLending
+)
+
+// A shardKeeper holds the lease of one rate shard, or campaigns for it when
+// it is free.
+type shardKeeper struct {
+	gate   // Guards the fields that only steps use.
+	leaser *Leaser
+	number int
+
+	mu    sync.Mutex
+	phase phase
+
+	// promisedUntil is the end of the promise not to campaign. No campaign
+	// starts before it, and no promise is made during a campaign.
+	promisedUntil time.Time
+	promisedTo    string
+
+	lease      storer.Lease
+	doubtEnd   time.Time // Campaigning: a write in doubt can't take effect after it. Zero when none is.
+	epoch      int64
+	validUntil time.Time
+	renewAt    time.Time
+	promised   bool // Lending: validUntil rests on promises, not on the lease.
+
+	table   limiter.SlotTable
+	tableAt time.Time // When the table was read, after the shard's lease was taken.
+	hinted  int64     // Highest version of a slot in heartbeats.
+
+	absentSince time.Time // Since when the platform has no record of a lender; zero when it has.
+	readAt      time.Time // Next read of the record.
+}
+
+func newShardKeeper(l *Leaser, number int) *shardKeeper {
+	return &shardKeeper{leaser: l, number: number}
+}
+
+// key is the shard's key in the platform.
+func (k *shardKeeper) key() string {
+	return lenderPrefix + strconv.Itoa(k.number)
+}
+
+// hint takes over the version of a slot that a heartbeat told.
+func (k *shardKeeper) hint(version int64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.hinted = max(k.hinted, version)
+}
+
+// step does what is due.
+func (k *shardKeeper) step(ctx context.Context) {
+	k.mu.Lock()
+	current := k.phase
+	k.mu.Unlock()
+	now := k.leaser.cfg.Clock.Now()
+	var err error
+	switch current {
+	case phaseIdle:
+		err = k.idle(ctx, now)
+	case phaseCampaigning:
+		err = k.resolve(ctx, now)
+	case phaseLending:
+		err = k.lend(ctx, now)
+	}
+	if err != nil {
+		k.log().WithError(err).Debug("rate shard")
+	}
+}
+
+// log returns the logger with the shard's fields.
+func (k *shardKeeper) log() logrus.FieldLogger {
+	return k.leaser.cfg.Logger.WithField("rate-shard", k.number)
+}
+
+// idle looks for the lender, and campaigns when there is none. The platform
+// is read only while no lender announces itself.
+func (k *shardKeeper) idle(ctx context.Context, now time.Time) (err error) {
+	row := k.leaser.directory.Row(k.number)
+	if row.Lender != "" && now.Sub(row.SeenAt) < announceTimeout {
+		k.absentSince = time.Time{}
+		k.readAt = time.Time{}
+		return nil
+	}
+	rank := k.rank()
+	if !k.absentSince.IsZero() && now.Sub(k.absentSince) >= min(maxRankDelay, time.Duration(rank)*rankDelay) {
+		if k.startCampaign(now) {
+			return k.campaign(ctx)
+		}
+	}
+	if now.Before(k.readAt) {
+		return nil
+	}
+	k.readAt = now.Add(min(maxReadPeriod, time.Duration(1+rank)*readPeriod))
+	return k.read(ctx, now)
+}
+
+// rank is this instance's place in the order in which the live instances
+// campaign for the shard. The order differs between shards, which spreads
+// them over the instances.
+func (k *shardKeeper) rank() int {
+	mine := limiter.Preference(k.number, k.leaser.cfg.InstanceID)
+	rank := 0
+	for _, instance := range k.leaser.cfg.Roster.Live() {
+		if !instance.Leaving && limiter.Preference(k.number, instance.ID) > mine {
+			rank++
+		}
+	}
+	return rank
+}
+
+// read reads the lender's record.
+func (k *shardKeeper) read(ctx context.Context, now time.Time) (err error) {
+	defer func() { err = merry.Prepend(err, "read the record") }()
+
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	e, err := k.leaser.cfg.Store.Get(ctx, k.key())
+	if errors.Is(err, storer.ErrNotFound) {
+		if k.absentSince.IsZero() {
+			k.absentSince = now
+		}
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	k.absentSince = time.Time{}
+	if holder := holderOf(e); holder != k.leaser.cfg.InstanceID {
+		k.leaser.directory.Record(k.number, holder, e.Version)
+	}
+	return nil
+}
+
+// startCampaign enters the campaign, unless a promise or the slot forbids it.
+func (k *shardKeeper) startCampaign(now time.Time) bool {
+	if _, ok := k.leaser.slot.mayLend(k.number, now); !ok || k.leaser.isLeaving() {
+		return false
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if now.Before(k.promisedUntil) {
+		return false
+	}
+	k.phase = phaseCampaigning
+	k.doubtEnd = time.Time{}
+	return true
+}
+
+// campaign takes the shard's lease and writes the record.
+func (k *shardKeeper) campaign(ctx context.Context) (err error) {
+	defer func() { err = merry.Prepend(err, "campaign") }()
+
+	k.absentSince = time.Time{}
+	e, err := k.write(ctx)
+	switch {
+	case err == nil:
+		k.begin(ctx, e)
+	case k.inDoubt():
+		return err
+	default:
+		k.goIdle()
+	}
+	return err
+}
+
+// write takes a lease and writes the record with it. After an error inDoubt
+// tells whether the record may exist or may still come into existence.
+func (k *shardKeeper) write(ctx context.Context) (e storer.Entry, err error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	store := k.leaser.cfg.Store
+	lease, err := store.GrantLease(ctx, lenderTerm)
+	if err != nil {
+		return storer.Entry{}, err
+	}
+	k.mu.Lock()
+	k.lease = lease
+	// The service counts the term from a moment before its answer came.
+	k.doubtEnd = k.leaser.cfg.Clock.Now().Add(lenderTerm + leaseMargin)
+	k.mu.Unlock()
+	e, err = store.Put(ctx, storer.PutRequest{Key: k.key(), Value: k.leaser.value(), LeaseID: lease.ID})
+	if err == nil || errors.Is(err, storer.ErrConflict) || errors.Is(err, storer.ErrUnavailable) {
+		k.settleDoubt()
+	}
+	if err != nil && !k.inDoubt() {
+		_ = store.RevokeLease(ctx, lease.ID)
+	}
+	return e, err
+}
+
+func (k *shardKeeper) inDoubt() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return !k.doubtEnd.IsZero()
+}
+
+func (k *shardKeeper) settleDoubt() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.doubtEnd = time.Time{}
+}
+
+// goIdle ends a campaign or the lending.
+func (k *shardKeeper) goIdle() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.phase = phaseIdle
+	k.doubtEnd = time.Time{}
+}
+
+// resolve finds out whether a write in doubt took effect. Until that is known
+// no promise is made.
+func (k *shardKeeper) resolve(ctx context.Context, now time.Time) (err error) {
+	defer func() { err = merry.Prepend(err, "resolve a write in doubt") }()
+
+	if !k.inDoubt() || !now.Before(k.doubtEnd) {
+		k.goIdle()
+		return nil
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	e, err := k.leaser.cfg.Store.Get(callCtx, k.key())
+	if err == nil && k.isOwn(e) {
+		k.begin(ctx, e)
+		return nil
+	}
+	if err != nil && !errors.Is(err, storer.ErrNotFound) {
+		return err
+	}
+	if err = k.voidWrite(callCtx); err == nil {
+		k.goIdle()
+	}
+	return err
+}
+
+// voidWrite makes sure that a write in doubt has no effect: it can have none
+// once its lease has ended.
+func (k *shardKeeper) voidWrite(ctx context.Context) error {
+	err := k.leaser.cfg.Store.RevokeLease(ctx, k.lease.ID)
+	if errors.Is(err, storer.ErrLeaseExpired) || errors.Is(err, storer.ErrNotFound) {
+		return nil
+	}
+	return err
+}
+
+// isOwn tells whether a record was written with this instance's last lease.
+func (k *shardKeeper) isOwn(e storer.Entry) bool {
+	return holderOf(e) == k.leaser.cfg.InstanceID && e.LeaseID == k.lease.ID
+}
+
+// begin starts to lend after the record was written.
+func (k *shardKeeper) begin(ctx context.Context, e storer.Entry) {
+	now := k.leaser.cfg.Clock.Now()
+	slotEnd, ok := k.leaser.slot.mayLend(k.number, now)
+	until := earlier(k.lease.ExpiresAt.Add(-leaseMargin), slotEnd)
+	if !ok || !now.Before(until) {
+		k.resign(ctx)
+		return
+	}
+	k.mu.Lock()
+	k.phase = phaseLending
+	k.doubtEnd = time.Time{}
+	k.epoch = e.Version
+	k.validUntil = until
+	k.renewAt = now.Add(renewPeriod)
+	k.promised = false
+	k.table = limiter.SlotTable{}
+	k.tableAt = time.Time{}
+	k.mu.Unlock()
+	k.leaser.lender.Begin(k.number, e.Version, until)
+	k.leaser.directory.Announce(k.number, k.leaser.cfg.InstanceID, e.Version)
+	k.leaser.announce()
+	k.log().WithField("epoch", e.Version).Info("lending a rate shard")
+}
+
+// resign stops lending and gives the lease back.
+func (k *shardKeeper) resign(ctx context.Context) {
+	k.leaser.lender.End(k.number)
+	k.leaser.directory.Forget(k.number, k.leaser.cfg.InstanceID)
+	k.goIdle()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := k.leaser.cfg.Store.RevokeLease(ctx, k.lease.ID); err != nil {
+		k.log().WithError(err).Debug("lease not given back")
+	}
+}
+
+// leave stops lending because the instance leaves. It reports whether a
+// promise is in force, during which the slot must be kept.
+func (k *shardKeeper) leave(ctx context.Context) (promised bool) {
+	k.wait()
+	defer k.exit()
+	k.mu.Lock()
+	lending := k.phase == phaseLending
+	promised = k.leaser.cfg.Clock.Now().Before(k.promisedUntil)
+	k.mu.Unlock()
+	if lending {
+		k.resign(ctx)
+	}
+	return promised
+}
+
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/linker/codec.go
@@ -0,0 +1,69 @@
+package linker
+
+import (
+	"bytes"
+	"encoding/binary"
+	"io"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// frameHeaderBytes is the size of the length that precedes an envelope.
+const frameHeaderBytes = 4
+
+// initialFrameBytes bounds what is allocated before the first byte of an
+// envelope has arrived: a peer cannot claim memory by a length alone.
+const initialFrameBytes = 16 << 10
+
+// Marshal encodes a payload.
+func Marshal(v any) ([]byte, error) {
+	return cbor.Marshal(v)
+}
+
+// Unmarshal decodes a payload.
+func Unmarshal(data []byte, v any) error {
+	return cbor.Unmarshal(data, v)
+}
+
+// encodeFrame encodes an envelope with its length.
+func encodeFrame(e Envelope) (frame []byte, err error) {
+	body, err := cbor.Marshal(e)
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > MaxMessageBytes {
+		return nil, merry.Prependf(ErrTooLarge, "%s of %d bytes", e.Kind, len(body))
+	}
+	frame = make([]byte, frameHeaderBytes, frameHeaderBytes+len(body))
+	binary.BigEndian.PutUint32(frame, uint32(len(body)))
+	return append(frame, body...), nil
+}
+
+// readFrame reads the only envelope of one direction of a stream. The length
+// is checked before anything is allocated for the body.
+func readFrame(r io.Reader) (e Envelope, err error) {
+	var header [frameHeaderBytes]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return Envelope{}, err
+	}
+	size := binary.BigEndian.Uint32(header[:])
+	if size > MaxMessageBytes {
+		return Envelope{}, merry.Prependf(ErrTooLarge, "frame of %d bytes", size)
+	}
+	var body bytes.Buffer
+	body.Grow(min(int(size), initialFrameBytes))
+	if _, err := io.CopyN(&body, r, int64(size)); err != nil {
+		return Envelope{}, err
+	}
+	if n, err := r.Read(header[:]); n > 0 || err != io.EOF {
+		return Envelope{}, merry.Errorf("no end of stream after the frame: %v", err)
+	}
+	if err := cbor.Unmarshal(body.Bytes(), &e); err != nil {
+		return Envelope{}, err
+	}
+	if e.Version != ProtocolVersion {
+		return e, merry.Errorf("envelope version %d is not supported", e.Version)
+	}
+	return e, nil
+}
--- /dev/null
+++ b/internal/linker/endpoint.go
@@ -0,0 +1,294 @@
+package linker
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/quic-go/quic-go"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/registrar"
+)
+
+// Times of a link.
+const (
+	// A connection on which nothing arrives for silenceTimeout is closed. The
+	// timer restarts with the first packet sent into the silence, so a call
+	// is blocked for this time at most.
+	silenceTimeout = time.Second
+	// keepAlivePeriod leaves two keepalive packets within silenceTimeout.
+	keepAlivePeriod = 450 * time.Millisecond
+	// dialTimeout bounds a handshake.
+	dialTimeout = time.Second
+	// callTimeout bounds a call whose context has no deadline, and the
+	// arrival of a request at its receiver.
+	callTimeout = 10 * time.Second
+	// The pause between failed dials doubles from minBackoff to maxBackoff.
+	// maxBackoff also bounds how long a healed partition stays unnoticed.
+	minBackoff = 50 * time.Millisecond
+	maxBackoff = time.Second
+)
+
+// Limits of a connection.
+const (
+	maxStreams           = 256 // Exchanges in flight from one peer.
+	maxStreamWindow      = MaxMessageBytes + 64<<10
+	maxConnectionWindow  = 2 * maxStreamWindow
+	initialReceiveWindow = 64 << 10 // Most messages are below 1 KiB; 350 peers must not cost much memory.
+)
+
+// A Clock tells the time.
+type Clock interface {
+	Now() time.Time
+}
+
+// A Config holds the parameters of a Linker.
+type Config struct {
+	InstanceID    string      // Must be the name in the certificate.
+	ListenAddress string      // UDP host and port; with port 0 the operating system chooses one.
+	TLS           *tls.Config // From KeyFiles.Load or Credentials.TLS.
+	Clock         Clock
+	Logger        logrus.FieldLogger
+}
+
+// A Linker is this instance's end of the links to all peers.
+type Linker struct {
+	cfg       Config
+	server    *tls.Config
+	transport *quic.Transport
+	handlers  map[Kind]Handler // Not changed after Start.
+	nextID    atomic.Uint64
+
+	// ctx ends when the Linker stops; all connections and dials depend on it.
+	ctx  context.Context
+	stop context.CancelFunc
+
+	mu    sync.RWMutex
+	links map[string]*link // By instance ID.
+
+	// spawnMu is apart from mu because a link spawns its dial under its own
+	// lock, which is taken after mu elsewhere.
+	spawnMu sync.Mutex
+	stopped bool // No goroutine is added any more.
+	group   conc.WaitGroup
+}
+
+// New binds the listen address. Start has to be called to serve it and to
+// release it at the end.
+func New(cfg Config) (l *Linker, err error) {
+	defer func() { err = merry.Prepend(err, "make links") }()
+
+	if err := checkOwnIdentity(cfg); err != nil {
+		return nil, err
+	}
+	address, err := net.ResolveUDPAddr("udp", cfg.ListenAddress)
+	if err != nil {
+		return nil, err
+	}
+	socket, err := net.ListenUDP("udp", address)
+	if err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	return &Linker{
+		cfg:       cfg,
+		server:    serverTLS(cfg.TLS),
+		transport: &quic.Transport{Conn: socket},
+		handlers:  make(map[Kind]Handler),
+		ctx:       ctx,
+		stop:      stop,
+		links:     make(map[string]*link),
+	}, nil
+}
+
+// checkOwnIdentity refuses a certificate of another instance: every peer
+// would refuse it later.
+func checkOwnIdentity(cfg Config) error {
+	if cfg.TLS == nil || len(cfg.TLS.Certificates) == 0 || cfg.TLS.RootCAs == nil {
+		return merry.Prepend(ErrIdentity, "certificate and authority are required")
+	}
+	leaf := cfg.TLS.Certificates[0].Leaf
+	if leaf == nil {
+		return merry.Prepend(ErrIdentity, "certificate is not parsed")
+	}
+	instance, err := identityOf(leaf)
+	if err != nil {
+		return err
+	}
+	if instance != cfg.InstanceID {
+		return merry.Prependf(ErrIdentity, "certificate of %q used by %q", instance, cfg.InstanceID)
+	}
+	return nil
+}
+
+// Address is the bound UDP address.
+func (l *Linker) Address() string {
+	return l.transport.Conn.LocalAddr().String()
+}
+
+// Handle registers the handler of a kind. It must be called before Start.
+func (l *Linker) Handle(kind Kind, h Handler) {
+	l.handlers[kind] = h
+}
+
+// SetPeers replaces the set of instances that can be called. Links to peers
+// that stay at their address are kept.
+func (l *Linker) SetPeers(peers []Peer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	kept := make(map[string]*link, len(peers))
+	for _, peer := range peers {
+		if peer.ID == l.cfg.InstanceID {
+			continue
+		}
+		kept[peer.ID] = l.keptLink(peer)
+	}
+	for id, old := range l.links {
+		if kept[id] != old {
+			old.close()
+		}
+	}
+	l.links = kept
+}
+
+// keptLink returns the present link to a peer, or a new one if its address
+// has changed. The caller holds mu.
+func (l *Linker) keptLink(peer Peer) *link {
+	old, ok := l.links[peer.ID]
+	if !ok || old.peer.Address != peer.Address {
+		return newLink(l, peer)
+	}
+	old.setPeer(peer)
+	return old
+}
+
+// Peers returns the instances that can be called, sorted by ID.
+func (l *Linker) Peers() []Peer {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	peers := make([]Peer, 0, len(l.links))
+	for _, k := range l.links {
+		peers = append(peers, k.peerCopy())
+	}
+	slices.SortFunc(peers, func(a, b Peer) int { return strings.Compare(a.ID, b.ID) })
+	return peers
+}
+
+// Links returns the state of the links, sorted by remote instance.
+func (l *Linker) Links() []registrar.Link {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	states := make([]registrar.Link, 0, len(l.links))
+	for _, k := range l.links {
+		states = append(states, k.snapshot())
+	}
+	slices.SortFunc(states, func(a, b registrar.Link) int { return strings.Compare(a.Remote, b.Remote) })
+	return states
+}
+
+// Call sends a request to a peer and decodes the answer into response, which
+// may be nil. The error is ErrUnreachable or ErrTooLarge when the request was
+// not handed over, ErrRemote when the peer refused it, and ErrUnknownEffect
+// when no answer came.
+func (l *Linker) Call(ctx context.Context, peer string, kind Kind, request, response any) (err error) {
+	defer func() { err = merry.Prependf(err, "%s to %s", kind, peer) }()
+
+	payload, err := Marshal(request)
+	if err != nil {
+		return err
+	}
+	l.mu.RLock()
+	k, ok := l.links[peer]
+	l.mu.RUnlock()
+	if !ok {
+		return merry.Prepend(ErrUnreachable, "unknown peer")
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	answer, err := k.exchange(ctx, Envelope{
+		Version: ProtocolVersion,
+		Kind:    kind,
+		ID:      l.nextID.Add(1),
+		Sender:  l.cfg.InstanceID,
+		Payload: payload,
+	})
+	if err != nil {
+		return err
+	}
+	if answer.Error != "" {
+		return merry.Prepend(ErrRemote, answer.Error)
+	}
+	if response == nil {
+		return nil
+	}
+	return Unmarshal(answer.Payload, response)
+}
+
+// Start serves the links until ctx ends.
+func (l *Linker) Start(ctx context.Context) <-chan error {
+	end := make(chan error, 1)
+	listener, err := l.transport.Listen(l.server, quicConfig())
+	if err != nil {
+		l.close()
+		end <- merry.Prepend(err, "listen for links")
+		return end
+	}
+	context.AfterFunc(ctx, l.stop)
+	go func() {
+		err := l.accept(listener)
+		l.close()
+		end <- err
+	}()
+	return end
+}
+
+// close ends all connections and waits for their goroutines.
+func (l *Linker) close() {
+	l.spawnMu.Lock()
+	l.stopped = true
+	l.spawnMu.Unlock()
+	l.mu.RLock()
+	for _, k := range l.links {
+		k.close()
+	}
+	l.mu.RUnlock()
+	l.stop()
+	_ = l.transport.Close()
+	l.group.Wait()
+	_ = l.transport.Conn.Close()
+}
+
+// spawn runs f in a goroutine that close waits for. It reports false when the
+// Linker is stopping.
+func (l *Linker) spawn(f func()) bool {
+	l.spawnMu.Lock()
+	defer l.spawnMu.Unlock()
+	if l.stopped {
+		return false
+	}
+	l.group.Go(f)
+	return true
+}
+
+// quicConfig is the configuration of both ends of a connection.
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout:           dialTimeout,
+		MaxIdleTimeout:                 silenceTimeout,
+		KeepAlivePeriod:                keepAlivePeriod,
+		InitialStreamReceiveWindow:     initialReceiveWindow,
+		MaxStreamReceiveWindow:         maxStreamWindow,
+		InitialConnectionReceiveWindow: 2 * initialReceiveWindow,
+		MaxConnectionReceiveWindow:     maxConnectionWindow,
+		MaxIncomingStreams:             maxStreams,
+		MaxIncomingUniStreams:          -1,
+	}
+}
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -1,4 +1,8 @@
 // Package linker connects entry instances with QUIC links under mutual TLS.
+//
+// Each instance dials one connection to each peer and sends its own calls
+// over it; the connection that a peer dials carries that peer's calls. A call
+// is one stream: a frame with the request, then a frame with the answer.
 package linker
 
 import (
@@ -13,9 +17,23 @@
 // MaxMessageBytes bounds an encoded envelope.
 const MaxMessageBytes = 4 << 20
 
-// ErrUnreachable means that no link to the peer could be used and that the
-// message was not handed over.
-var ErrUnreachable = merry.Sentinel("peer unreachable")
+// Errors of a call.
+var (
+	// ErrUnreachable means that no link to the peer could be used and that
+	// the message was not handed over.
+	ErrUnreachable = merry.Sentinel("peer unreachable")
+	// ErrUnknownEffect means that the message was handed over and that no
+	// answer came: the peer may have acted on it or may still do so.
+	ErrUnknownEffect = merry.Sentinel("answer of the peer lost")
+	// ErrRemote means that the peer answered with an error.
+	ErrRemote = merry.Sentinel("peer answered with an error")
+	// ErrTooLarge means that a message exceeds MaxMessageBytes and was not
+	// sent.
+	ErrTooLarge = merry.Sentinel("message too large")
+	// ErrIdentity means that a certificate does not name the expected
+	// instance.
+	ErrIdentity = merry.Sentinel("certificate does not name the instance")
+)
 
 // A Kind names the type of a message.
 type Kind string
--- /dev/null
+++ b/internal/linker/server.go
@@ -0,0 +1,145 @@
+package linker
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/quic-go/quic-go"
+	"github.com/sourcegraph/conc/panics"
+)
+
+// Codes with which connections and streams are closed.
+const (
+	codeClosing   quic.ApplicationErrorCode = 0 // The instance stops or forgets the peer.
+	codeIdentity  quic.ApplicationErrorCode = 1 // The sender is not the instance of the certificate.
+	codeCancelled quic.StreamErrorCode      = 0 // Nobody waits for the answer.
+	codeRefused   quic.StreamErrorCode      = 1 // The request could not be read.
+)
+
+// accept serves incoming connections until the Linker stops. A failed
+// handshake is not reported by the listener, so only its end gets here.
+func (l *Linker) accept(listener *quic.Listener) error {
+	defer func() { _ = listener.Close() }()
+	for {
+		conn, err := listener.Accept(l.ctx)
+		switch {
+		case l.ctx.Err() != nil:
+			return nil
+		case errors.Is(err, net.ErrClosed), errors.Is(err, quic.ErrServerClosed):
+			return merry.Prepend(err, "accept links")
+		case err != nil:
+			l.cfg.Logger.WithError(err).Warn("link not accepted")
+			continue
+		}
+		if !l.spawn(func() { l.serveConn(conn) }) {
+			_ = conn.CloseWithError(codeClosing, "stopping")
+		}
+	}
+}
+
+// serveConn serves the streams of one incoming connection.
+func (l *Linker) serveConn(conn *quic.Conn) {
+	sender, err := peerIdentity(conn.ConnectionState().TLS)
+	if err != nil {
+		_ = conn.CloseWithError(codeIdentity, "no identity")
+		return
+	}
+	stopWatching := context.AfterFunc(l.ctx, func() { _ = conn.CloseWithError(codeClosing, "stopping") })
+	defer stopWatching()
+	for {
+		stream, err := conn.AcceptStream(l.ctx)
+		if err != nil {
+			return
+		}
+		s := serving{linker: l, conn: conn, stream: stream, sender: sender}
+		if !l.spawn(s.run) {
+			return
+		}
+	}
+}
+
+// A serving is the receiver's side of one exchange.
+type serving struct {
+	linker *Linker
+	conn   *quic.Conn
+	stream *quic.Stream
+	sender string // From the certificate.
+}
+
+// run reads the request, calls its handler and writes the answer. The stream's
+// deadlines are in the time of the operating system, which QUIC uses.
+func (s *serving) run() {
+	_ = s.stream.SetReadDeadline(time.Now().Add(callTimeout))
+	request, err := readFrame(s.stream)
+	if err != nil {
+		s.refuse(err)
+		return
+	}
+	if request.Sender != s.sender {
+		s.linker.cfg.Logger.WithField("peer", s.sender).WithField("claimed", request.Sender).
+			Warn("link closed: sender is not the instance of the certificate")
+		_ = s.conn.CloseWithError(codeIdentity, "sender is not the instance of the certificate")
+		return
+	}
+	s.answer(request)
+}
+
+// refuse drops a request that could not be read. The connection stays: its
+// other streams are not affected.
+func (s *serving) refuse(err error) {
+	s.linker.cfg.Logger.WithError(err).WithField("peer", s.sender).Debug("request not read")
+	s.stream.CancelRead(codeRefused)
+	s.stream.CancelWrite(codeRefused)
+}
+
+// answer calls the handler and writes what it returns.
+func (s *serving) answer(request Envelope) {
+	answer := Envelope{
+		Version: ProtocolVersion,
+		Kind:    request.Kind,
+		ID:      request.ID,
+		Sender:  s.linker.cfg.InstanceID,
+	}
+	payload, err := s.handle(request)
+	if err != nil {
+		answer.Error = err.Error()
+	} else {
+		answer.Payload = payload
+	}
+	frame, err := encodeFrame(answer)
+	if err != nil {
+		answer.Payload = nil
+		answer.Error = err.Error()
+		frame, err = encodeFrame(answer)
+	}
+	if err != nil {
+		s.refuse(err)
+		return
+	}
+	_ = s.stream.SetWriteDeadline(time.Now().Add(callTimeout))
+	if _, err := s.stream.Write(frame); err != nil {
+		s.stream.CancelWrite(codeCancelled)
+		return
+	}
+	_ = s.stream.Close()
+}
+
+// handle calls the handler of the request's kind. A panic is turned into an
+// error answer, so that one message cannot end the process.
+func (s *serving) handle(request Envelope) (payload []byte, err error) {
+	handler, ok := s.linker.handlers[request.Kind]
+	if !ok {
+		return nil, merry.Errorf("kind %q is not served", request.Kind)
+	}
+	recovered := panics.Try(func() {
+		payload, err = handler.Handle(s.stream.Context(), s.sender, request.Payload)
+	})
+	if recovered != nil {
+		s.linker.cfg.Logger.WithField("kind", request.Kind).Error(recovered.String())
+		return nil, merry.Errorf("handler of %q failed", request.Kind)
+	}
+	return payload, err
+}
