--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -23,6 +23,8 @@
 type Args struct {
 	Apply   *ApplyCmd   `arg:"subcommand:apply" help:"put a release note into force"`
 	Check   *CheckCmd   `arg:"subcommand:check" help:"report the faults of settings, declarations and release notes"`
+	Dev     *DevCmd     `arg:"subcommand:dev" help:"run two entries and example backend servers in this process"`
+	Entry   *EntryCmd   `arg:"subcommand:entry" help:"run an entry instance"`
 	Key     *KeyCmd     `arg:"subcommand:key" help:"grant and withdraw keys of workspaces"`
 	Status  *StatusCmd  `arg:"subcommand:status" help:"show the configuration in force and where it is confirmed"`
 	Version *VersionCmd `arg:"subcommand:version" help:"print the version"`
