feat: load tool with the four measures

The targets need figures for batch throughput, harm to the online tail, the worst-served workspace and refusals inside the rate, for both deployments at today's size.

measurer draws Poisson arrivals from a seed, sends them open-loop and counts latency from the intended start; a closed loop would send less while the system is slow. A request inside its rate that is not answered counts with the request limit, so that dropping slow requests cannot improve the tail. What is inside the rate is decided by an ideal token bucket for the whole workspace. The share of the worst-served workspace is taken of what lies inside its rate, because a workspace that sends five times its rate is refused most of it rightly; the plain share stands beside it.

Scenarios are TOML files in the binary: steady load, five times the rate, bursts into full batch, a lost failure domain, the platform down. cmd/measure starts a deployment with the process harness, passes a baseline to the entries' settings, and runs each scenario with and without batch work. A subcommand of cmd/emulator was ruled out: the stand-ins would then depend on the harness that starts them.

--- /dev/null
+++ b/cmd/measure/list.go
@@ -0,0 +1,26 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/measurer"
+)
+
+// A listCmd lists what can be run.
+type listCmd struct{}
+
+func (*listCmd) run(_ context.Context, stdout io.Writer) (err error) {
+	names, err := measurer.Scenarios()
+	if err != nil {
+		return err
+	}
+	for _, name := range names {
+		fmt.Fprintln(stdout, "scenario", name)
+	}
+	for _, baseline := range measurer.Baselines() {
+		fmt.Fprintln(stdout, "baseline", baseline)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/measurer/backlog.go
@@ -0,0 +1,214 @@
+package measurer
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/sourcegraph/conc/pool"
+)
+
+const (
+	// submitters bounds the jobs that are submitted at once.
+	submitters = 4
+	// submitTries bounds the resends of one job. A resend is harmless: the
+	// same content gives the same job.
+	submitTries = 5
+	// submitPause is the time between two tries.
+	submitPause = 500 * time.Millisecond
+	// maxResultBytes bounds one line of results.
+	maxResultBytes = 1 << 20
+)
+
+// A job is a submitted batch job.
+type job struct {
+	Workspace string
+	Name      string
+	Items     int
+
+	mu     sync.Mutex
+	status jobStatus // The last one that was read.
+}
+
+// A backlog is the batch work of a run.
+type backlog struct {
+	client *client
+	batch  Batch
+	jobs   []*job
+}
+
+// newBacklog splits the items over workspaces by their shares.
+func newBacklog(c *client, d Deployment, run string) *backlog {
+	b := &backlog{client: c, batch: d.Batch}
+	for _, w := range d.Workspaces {
+		items := int(math.Round(float64(d.Batch.Items) * w.BatchShare))
+		for n := 0; items > 0; n++ {
+			size := min(items, d.Batch.ItemsPerJob)
+			b.jobs = append(b.jobs, &job{Workspace: w.Name, Name: fmt.Sprintf("%s-%d", run, n), Items: size})
+			items -= size
+		}
+	}
+	return b
+}
+
+// submit submits all jobs and returns when each was acknowledged.
+func (b *backlog) submit(ctx context.Context) error {
+	p := pool.New().WithContext(ctx).WithMaxGoroutines(submitters).WithCancelOnError().WithFirstError()
+	for _, j := range b.jobs {
+		p.Go(func(ctx context.Context) error { return b.submitJob(ctx, j) })
+	}
+	return p.Wait()
+}
+
+func (b *backlog) submitJob(ctx context.Context, j *job) (err error) {
+	defer func() {
+		if err != nil {
+			err = merry.Prependf(err, "submit job %s of %s", j.Name, j.Workspace)
+		}
+	}()
+
+	content, err := b.content(j)
+	if err != nil {
+		return err
+	}
+	path := batchPath + j.Name + "?due-in=" + time.Duration(b.batch.DueIn).String()
+	for range submitTries {
+		if _, err = b.ask(ctx, http.MethodPut, path, j.Workspace, content); err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-b.client.clock.After(submitPause):
+		}
+	}
+	return err
+}
+
+// content returns the items of a job as JSON lines.
+func (b *backlog) content(j *job) ([]byte, error) {
+	var content bytes.Buffer
+	lines := json.NewEncoder(&content)
+	for i := range j.Items {
+		id := fmt.Sprintf("%s.%s.%d", j.Workspace, j.Name, i)
+		line := batchLine{CustomID: id, URL: chatPath, Body: chatBody{
+			Model:     b.batch.Route,
+			Messages:  []chatMessage{{Role: "user", Content: newPrompt(j.Workspace, id, b.client.chat.PrefixWords)}},
+			MaxTokens: b.batch.MaxTokens,
+		}}
+		if err := lines.Encode(line); err != nil {
+			return nil, err
+		}
+	}
+	return content.Bytes(), nil
+}
+
+// completed returns the number of items with a result. For a job whose status
+// cannot be read now, the last status counts.
+func (b *backlog) completed(ctx context.Context) (n int) {
+	p := pool.New().WithContext(ctx).WithMaxGoroutines(submitters)
+	for _, j := range b.jobs {
+		p.Go(func(ctx context.Context) error { return b.refresh(ctx, j) })
+	}
+	_ = p.Wait() // The last status counts instead.
+	for _, j := range b.jobs {
+		j.mu.Lock()
+		n += j.status.Completed
+		j.mu.Unlock()
+	}
+	return n
+}
+
+func (b *backlog) refresh(ctx context.Context, j *job) error {
+	answer, err := b.ask(ctx, http.MethodGet, batchPath+j.Name, j.Workspace, nil)
+	if err != nil {
+		return err
+	}
+	var status jobStatus
+	if err := json.Unmarshal(answer, &status); err != nil {
+		return merry.Prependf(err, "read the status of job %s of %s", j.Name, j.Workspace)
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.status = status
+	return nil
+}
+
+// cancel stops all jobs, so that the entries are idle for what follows.
+func (b *backlog) cancel(ctx context.Context) error {
+	for _, j := range b.jobs {
+		if _, err := b.ask(ctx, http.MethodPost, batchPath+j.Name+"/cancel", j.Workspace, nil); err != nil {
+			return merry.Prependf(err, "cancel job %s of %s", j.Name, j.Workspace)
+		}
+	}
+	return nil
+}
+
+// batchResults is what the results of all jobs show.
+type batchResults struct {
+	Results    int // Lines with a result.
+	Duplicates int // Lines whose item has a result already.
+	Failed     int // Items that could not be done.
+	Tokens     int
+}
+
+// results reads the results of all jobs.
+func (b *backlog) results(ctx context.Context) (sum batchResults, err error) {
+	for _, j := range b.jobs {
+		answer, err := b.ask(ctx, http.MethodGet, batchPath+j.Name+"/results", j.Workspace, nil)
+		if err != nil {
+			return sum, merry.Prependf(err, "read the results of job %s of %s", j.Name, j.Workspace)
+		}
+		if err := sum.add(bytes.NewReader(answer)); err != nil {
+			return sum, merry.Prependf(err, "read the results of job %s of %s", j.Name, j.Workspace)
+		}
+	}
+	return sum, nil
+}
+
+// add counts the results of one job.
+func (s *batchResults) add(r io.Reader) error {
+	seen := make(map[string]bool)
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, maxResultBytes)
+	for lines.Scan() {
+		var line resultLine
+		if err := json.Unmarshal(lines.Bytes(), &line); err != nil {
+			return err
+		}
+		s.Results++
+		if seen[line.CustomID] {
+			s.Duplicates++
+		}
+		seen[line.CustomID] = true
+		if len(line.Error) > 0 && string(line.Error) != "null" {
+			s.Failed++
+		}
+		s.Tokens += line.Response.Body.Usage.CompletionTokens
+	}
+	return lines.Err()
+}
+
+// ask sends a request about a job and returns the answer's body.
+func (b *backlog) ask(ctx context.Context, method, path, workspace string, body []byte) (answer []byte, err error) {
+	ctx, cancel := context.WithTimeout(ctx, b.client.limit)
+	defer cancel()
+	resp, err := b.client.exchange(ctx, method, path, workspace, body)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer, err = io.ReadAll(resp.Body)
+	if err == nil && resp.StatusCode/100 != 2 {
+		err = merry.Errorf("status %d: %s", resp.StatusCode, answer)
+	}
+	return answer, err
+}
--- /dev/null
+++ b/internal/measurer/loader.go
@@ -0,0 +1,177 @@
+package measurer
+
+import (
+	"embed"
+	"errors"
+	"io/fs"
+	"math"
+	"path"
+	"slices"
+	"strings"
+
+	"github.com/BurntSushi/toml"
+	"github.com/ansel1/merry/v2"
+
+	"github.com/quetzalhitch/quetzalhitch/pkg/declarer"
+)
+
+// descriptions are the deployments and scenarios at today's sizes.
+//
+//go:embed descriptions
+var descriptions embed.FS
+
+// Folders and the suffix of the descriptions.
+const (
+	deploymentFolder  = "descriptions/deployments"
+	scenarioFolder    = "descriptions/scenarios"
+	descriptionSuffix = ".toml"
+)
+
+// shareTolerance allows for sums of decimal fractions.
+const shareTolerance = 1e-6
+
+// Scenarios returns the names of all scenarios, sorted.
+func Scenarios() (names []string, err error) {
+	paths, err := fs.Glob(descriptions, scenarioFolder+"/*/*"+descriptionSuffix)
+	if err != nil {
+		return nil, merry.Prepend(err, "list scenarios")
+	}
+	for _, p := range paths {
+		name := strings.TrimPrefix(p, scenarioFolder+"/")
+		names = append(names, strings.TrimSuffix(name, descriptionSuffix))
+	}
+	return names, nil
+}
+
+// Load returns the description of a scenario such as "ljepilo-hub/steady".
+func Load(name string) (d Description, err error) {
+	defer func() {
+		if err != nil {
+			err = merry.Prependf(err, "load scenario %q", name)
+		}
+	}()
+
+	if err = decode(path.Join(scenarioFolder, name+descriptionSuffix), &d.Scenario); err != nil {
+		return Description{}, err
+	}
+	d.Scenario.Name = name
+	if err = decode(path.Join(deploymentFolder, path.Dir(name)+descriptionSuffix), &d.Deployment); err != nil {
+		return Description{}, err
+	}
+	return d, d.Validate()
+}
+
+// decode reads a description and refuses keys that nothing reads.
+func decode(file string, into any) error {
+	content, err := descriptions.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	meta, err := toml.Decode(string(content), into)
+	if err != nil {
+		return merry.Prepend(err, file)
+	}
+	if unknown := meta.Undecoded(); len(unknown) > 0 {
+		return merry.Errorf("%s: unknown key %s", file, unknown[0])
+	}
+	return nil
+}
+
+// Validate reports all faults of a description at once.
+func (d Description) Validate() error {
+	return errors.Join(d.Deployment.validate(), d.Scenario.validate(d.Deployment))
+}
+
+func (d Deployment) validate() (err error) {
+	if len(d.FailureDomains) == 0 || len(d.Entries) == 0 || len(d.Workspaces) == 0 {
+		err = errors.Join(err, merry.New("a deployment needs failure domains, entries and workspaces"))
+	}
+	for _, e := range d.Entries {
+		if !d.hasDomain(e.FailureDomain) {
+			err = errors.Join(err, merry.Errorf("entry %s: no failure domain %q", e.ID, e.FailureDomain))
+		}
+	}
+	for _, route := range []string{d.Chat.Route, d.Call.Route, d.Batch.Route} {
+		if !slices.ContainsFunc(d.Routes, func(r declarer.Route) bool { return r.Name == route }) {
+			err = errors.Join(err, merry.Errorf("no route %q", route))
+		}
+	}
+	if d.Batch.Items < 0 || d.Batch.ItemsPerJob < 1 {
+		err = errors.Join(err, merry.New("batch: items and items-per-job have to be positive"))
+	}
+	return errors.Join(err, d.validateWorkspaces())
+}
+
+func (d Deployment) validateWorkspaces() (err error) {
+	shares := 0.0
+	for _, w := range d.Workspaces {
+		shares += w.BatchShare
+		if w.Rate <= 0 || w.Burst < 1 || w.ChatRate < 0 || w.CallRate < 0 || w.BatchShare < 0 {
+			err = errors.Join(err, merry.Errorf("workspace %s: a number is out of range", w.Name))
+		}
+		if w.ChatRate+w.CallRate > w.Rate {
+			err = errors.Join(err, merry.Errorf("workspace %s: the usual load is above its rate", w.Name))
+		}
+	}
+	if math.Abs(shares-1) > shareTolerance {
+		err = errors.Join(err, merry.Errorf("the batch shares add up to %g instead of 1", shares))
+	}
+	return err
+}
+
+func (d Deployment) hasDomain(name string) bool {
+	for _, domain := range d.FailureDomains {
+		if domain.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (d Deployment) hasWorkspace(name string) bool {
+	for _, w := range d.Workspaces {
+		if w.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (s Scenario) validate(d Deployment) (err error) {
+	if s.Duration <= 0 || s.WarmUp < 0 {
+		err = errors.Join(err, merry.New("duration has to be positive"))
+	}
+	for _, b := range s.Bursts {
+		if (b.Factor > 0) == (b.TimesRate > 0) {
+			err = errors.Join(err, merry.New("burst: exactly one of factor and times-rate has to be positive"))
+		}
+		if b.At < 0 || b.Duration <= 0 || b.At+b.Duration > s.Duration {
+			err = errors.Join(err, merry.New("burst: it does not lie within the run"))
+		}
+		for _, w := range b.Workspaces {
+			if !d.hasWorkspace(w) {
+				err = errors.Join(err, merry.Errorf("burst: no workspace %q", w))
+			}
+		}
+	}
+	for _, f := range s.Faults {
+		err = errors.Join(err, f.validate(s, d))
+	}
+	return err
+}
+
+func (f Fault) validate(s Scenario, d Deployment) (err error) {
+	if f.At < 0 || f.Duration <= 0 || f.At+f.Duration > s.Duration {
+		err = merry.New("fault: it does not lie within the run")
+	}
+	switch f.Kind {
+	case PlatformDown:
+	case FailureDomainLost:
+		if !d.hasDomain(f.FailureDomain) {
+			err = errors.Join(err, merry.Errorf("fault: no failure domain %q", f.FailureDomain))
+		}
+	default:
+		err = errors.Join(err, merry.Errorf("fault: unknown kind %q", f.Kind))
+	}
+	return err
+}
