fix: load names models and the harness finds IPv6 senders

Entries find the route of a completion by the model that the body names, not by the route's name; the two were alike in the descriptions, which hid it.

A UDP socket that is bound to all addresses stands in /proc/net/udp6, so a link dialled from one would have passed no relay. A test runs QUIC through the relay: 1 MB passes, and a stream outlives a cut.

--- a/internal/measurer/backlog.go
+++ b/internal/measurer/backlog.go
@@ -42,12 +42,13 @@
 type backlog struct {
 	client *client
 	batch  Batch
+	model  string
 	jobs   []*job
 }
 
 // newBacklog splits the items over workspaces by their shares.
 func newBacklog(c *client, d Deployment, run string) *backlog {
-	b := &backlog{client: c, batch: d.Batch}
+	b := &backlog{client: c, batch: d.Batch, model: d.modelOf(d.Batch.Route)}
 	for _, w := range d.Workspaces {
 		items := int(math.Round(float64(d.Batch.Items) * w.BatchShare))
 		for n := 0; items > 0; n++ {
@@ -100,7 +101,7 @@
 	for i := range j.Items {
 		id := fmt.Sprintf("%s.%s.%d", j.Workspace, j.Name, i)
 		line := batchLine{CustomID: id, URL: chatPath, Body: chatBody{
-			Model:     b.batch.Route,
+			Model:     b.model,
 			Messages:  []chatMessage{{Role: "user", Content: newPrompt(j.Workspace, id, b.client.chat.PrefixWords)}},
 			MaxTokens: b.batch.MaxTokens,
 		}}
--- a/internal/measurer/client.go
+++ b/internal/measurer/client.go
@@ -39,6 +39,7 @@
 	http     *http.Client
 	balancer *balancer
 	keys     map[string]string // By workspace.
+	model    string            // Of chats.
 	chat     Chat
 	call     Call
 	clock    Clock
@@ -55,6 +56,7 @@
 		http:     &http.Client{Transport: transport},
 		balancer: newBalancer(cfg.Clock, cfg.Entries),
 		keys:     cfg.Keys,
+		model:    cfg.Description.Deployment.modelOf(cfg.Description.Deployment.Chat.Route),
 		chat:     cfg.Description.Deployment.Chat,
 		call:     cfg.Description.Deployment.Call,
 		clock:    cfg.Clock,
@@ -96,7 +98,7 @@
 
 func (c *client) sendChat(ctx context.Context, r request, intended time.Time) outcome {
 	body := chatBody{
-		Model:     c.chat.Route,
+		Model:     c.model,
 		Messages:  []chatMessage{{Role: "user", Content: newPrompt(r.Workspace, marker(r), c.chat.PrefixWords)}},
 		MaxTokens: c.chat.MaxTokens,
 		Stream:    true,
--- a/internal/measurer/deployment.go
+++ b/internal/measurer/deployment.go
@@ -112,6 +112,16 @@
 	return nil
 }
 
+// modelOf returns the model of a route, which requests name.
+func (d Deployment) modelOf(route string) string {
+	for _, r := range d.Routes {
+		if r.Name == route {
+			return r.Model
+		}
+	}
+	return ""
+}
+
 // A FaultKind names what a scenario does to the deployment.
 type FaultKind string
 
--- a/internal/measurer/fakeentry_test.go
+++ b/internal/measurer/fakeentry_test.go
@@ -76,8 +76,8 @@
 
 func (e *fakeEntry) chat(w http.ResponseWriter, r *http.Request) {
 	var body chatBody
-	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil || body.Model != "lm-desk" {
+		http.Error(w, "no such model", http.StatusBadRequest)
 		return
 	}
 	_, marker, _ := strings.Cut(body.Messages[0].Content, markerPrefix)
--- a/internal/tester/proc.go
+++ b/internal/tester/proc.go
@@ -43,10 +43,16 @@
 }
 
 // udpSocket returns the inode of the UDP socket that sends from an address. A
-// socket that is not connected may be bound to all addresses.
+// socket that is not connected may be bound to all addresses, also to those of
+// IPv6.
 func udpSocket(local netip.AddrPort) (inode string, err error) {
 	everywhere := netip.AddrPortFrom(netip.IPv4Unspecified(), local.Port())
-	return findSocket("/proc/net/udp", []netip.AddrPort{local, everywhere}, netip.AddrPort{})
+	inode, err = findSocket("/proc/net/udp", []netip.AddrPort{local, everywhere}, netip.AddrPort{})
+	if err == nil {
+		return inode, nil
+	}
+	everywhere = netip.AddrPortFrom(netip.IPv6Unspecified(), local.Port())
+	return findSocket("/proc/net/udp6", []netip.AddrPort{everywhere}, netip.AddrPort{})
 }
 
 // findSocket looks for a socket with one of the local ends. An invalid remote
@@ -58,7 +64,7 @@
 		}
 	}()
 
-	file, err := os.Open(path) //nolint:gosec // One of two constants.
+	file, err := os.Open(path) //nolint:gosec // One of the constants above.
 	if err != nil {
 		return "", err
 	}
@@ -85,9 +91,13 @@
 	return "", merry.New("no such socket")
 }
 
-// procAddress writes an IPv4 address as /proc/net/tcp does: the bytes of the
-// address in the order of the machine, here little-endian.
+// procAddress writes an address as /proc/net does: words of four bytes in the
+// order of the machine, here little-endian. Of IPv6 addresses only the
+// unspecified one is asked for, in which the order does not matter.
 func procAddress(a netip.AddrPort) string {
+	if a.Addr() == netip.IPv6Unspecified() {
+		return fmt.Sprintf("%032X:%04X", 0, a.Port())
+	}
 	ip := a.Addr().Unmap().As4()
 	return fmt.Sprintf("%08X:%04X", binary.LittleEndian.Uint32(ip[:]), a.Port())
 }
--- a/internal/tester/udprelay_test.go
+++ b/internal/tester/udprelay_test.go
@@ -3,10 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
+	"net/netip"
+	"os"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/quic-go/quic-go"
 	"gotest.tools/v3/assert"
 )
 
@@ -167,3 +172,72 @@
 	cancel()
 	r.workers.Wait()
 }
+
+// Guards against a sender that the router cannot tell by its socket, so that
+// its datagrams pass no relay.
+func TestUDPSenderIsFound(t *testing.T) {
+	for name, network := range map[string]string{"all addresses": "udp", "all IPv4 addresses": "udp4"} {
+		t.Run(name, func(t *testing.T) {
+			conn, err := net.ListenPacket(network, ":0")
+			assert.NilError(t, err)
+			t.Cleanup(func() { _ = conn.Close() })
+			port := conn.LocalAddr().(*net.UDPAddr).AddrPort().Port()
+			inode, err := udpSocket(netip.AddrPortFrom(loopback, port))
+			assert.NilError(t, err)
+			assert.Assert(t, ownsSocket(os.Getpid(), inode))
+		})
+	}
+}
+
+// Guards against a relay that QUIC does not get through, or whose cut a
+// connection does not outlive as it outlives one of a network.
+func TestQUICThroughRelay(t *testing.T) {
+	authority, err := NewCertificateAuthority(t.TempDir())
+	assert.NilError(t, err)
+	serverTLS, clientTLS := issue(t, authority, "entry-a"), issue(t, authority, "entry-b")
+	serverTLS.NextProtos, clientTLS.NextProtos = []string{"test"}, []string{"test"}
+	listener, err := quic.ListenAddr(anyPort, serverTLS, nil)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go echoStreams(t.Context(), listener)
+
+	r, err := NewUDPRelay(t.Context(), "quic", 1)
+	assert.NilError(t, err)
+	t.Cleanup(r.Close)
+	assert.NilError(t, r.SetTarget(listener.Addr().String()))
+	conn, err := quic.DialAddr(t.Context(), r.Address, clientTLS, nil)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.CloseWithError(0, "") })
+	stream, err := conn.OpenStreamSync(t.Context())
+	assert.NilError(t, err)
+
+	large := strings.Repeat("0123456789", 100_000)
+	go func() { _, _ = stream.Write([]byte(large)) }()
+	assertReads(t, stream, large)
+
+	r.Cut(ToTarget)
+	r.Cut(FromTarget)
+	_, err = stream.Write([]byte("kept"))
+	assert.NilError(t, err)
+	assert.NilError(t, stream.SetReadDeadline(time.Now().Add(answerLimit)))
+	_, err = stream.Read(make([]byte, 1))
+	assert.ErrorContains(t, err, "deadline")
+	r.Join()
+	assert.NilError(t, stream.SetReadDeadline(time.Now().Add(testLimit)))
+	assertReads(t, stream, "kept")
+}
+
+// echoStreams sends back what comes on the streams of one connection.
+func echoStreams(ctx context.Context, listener *quic.Listener) {
+	conn, err := listener.Accept(ctx)
+	if err != nil {
+		return
+	}
+	for {
+		stream, err := conn.AcceptStream(ctx)
+		if err != nil {
+			return
+		}
+		go func() { _, _ = io.Copy(stream, stream) }()
+	}
+}
