--- a/internal/limiter/account.go
+++ b/internal/limiter/account.go
@@ -19,10 +19,10 @@
 	minPrefetch = 4
 	// demandSmoothing is the weight of the last prefetch period.
 	demandSmoothing = 0.25
-	// maxQuiet is the longest pause between an answer that fell short and the
+	// maxAskPause is the longest pause between an answer that fell short and the
 	// next ask for the same workspace. It bounds the asks of a workspace that
 	// sends several times its rate; its requests wait meanwhile.
-	maxQuiet = 20 * time.Millisecond
+	maxAskPause = 20 * time.Millisecond
 )
 
 // An account is a workspace as its borrower sees it.
@@ -37,13 +37,13 @@
 	standing standing
 	current  holding   // With the present lender.
 	old      []holding // With earlier lenders, or under contracts that the lender has forgotten.
-	flight   *flight
+	pending  *pendingAsk
 	demand   demand
 
-	waiters    []*Waiter // In order of arrival. Those with asked set come first.
-	asking     bool      // A goroutine asks for the waiters.
-	quietUntil time.Time // No ask for waiters before.
-	reportSoon bool      // The lender waits for a report of what was used.
+	waiters      []*Waiter // In order of arrival. Those with asked set come first.
+	asking       bool      // A goroutine asks for the waiters.
+	askNotBefore time.Time // No ask for waiters before.
+	reportSoon   bool      // The lender waits for a report of what was used.
 }
 
 // A Waiter is a request that waits for an answer of the lender.
@@ -97,7 +97,7 @@
 
 // claimAsking tells whether the caller has to start asking.
 func (a *account) claimAsking() bool {
-	if a.asking || a.flight != nil || len(a.waiters) == 0 {
+	if a.asking || a.pending != nil || len(a.waiters) == 0 {
 		return false
 	}
 	a.asking = true
@@ -123,15 +123,15 @@
 // askForWaiters returns an ask for all requests that wait, or a report that
 // can't wait, or the time until it may be sent. It reports false when none is
 // needed. The caller holds mu.
-func (a *account) askForWaiters(lender string, now time.Time) (f *flight, pause time.Duration, ok bool) {
+func (a *account) askForWaiters(lender string, now time.Time) (f *pendingAsk, pause time.Duration, ok bool) {
 	if lender == "" {
 		a.refuseAll(ReasonNoLender)
 	}
-	if a.flight != nil || (len(a.waiters) == 0 && !a.reportDue(lender)) {
+	if a.pending != nil || (len(a.waiters) == 0 && !a.reportDue(lender)) {
 		a.asking = false
 		return nil, 0, false
 	}
-	if pause := a.quietUntil.Sub(now); pause > 0 && len(a.waiters) > 0 {
+	if pause := a.askNotBefore.Sub(now); pause > 0 && len(a.waiters) > 0 {
 		return nil, pause, true
 	}
 	a.follow(lender, now)
@@ -145,14 +145,14 @@
 
 // collect returns the ask that is due at a prefetch, if any. The caller holds
 // mu.
-func (a *account) collect(lender string, now time.Time) (f *flight, ok bool) {
+func (a *account) collect(lender string, now time.Time) (f *pendingAsk, ok bool) {
 	a.demand.tick(now)
 	a.standing.settle(a.ledger.slot.Load(), a.shard, now)
-	if a.flight != nil || lender == "" {
+	if a.pending != nil || lender == "" {
 		return nil, false
 	}
 	a.follow(lender, now)
-	a.shedIdle(now)
+	a.returnIdle(now)
 	ahead := a.wanted()
 	giveBack := 0.0
 	if a.standingIdle(now) && a.current.live(now) {
@@ -173,7 +173,7 @@
 }
 
 // ask puts an ask in flight.
-func (a *account) ask(atOnce, ahead int, giveBack float64, now time.Time) *flight {
+func (a *account) ask(atOnce, ahead int, giveBack float64, now time.Time) *pendingAsk {
 	a.reportSoon = false
 	ask := a.current.ask(a.subject, now)
 	ask.AtOnce = atOnce
@@ -181,11 +181,11 @@
 	if giveBack > 0 {
 		a.standing.giveBack(giveBack, &ask, now)
 	}
-	a.flight = &flight{owner: a, shard: a.shard, ask: ask, sentAt: now, asked: atOnce}
+	a.pending = &pendingAsk{owner: a, shard: a.shard, ask: ask, sentAt: now}
 	for _, w := range a.waiters[:atOnce] {
 		w.asked = true
 	}
-	return a.flight
+	return a.pending
 }
 
 // follow turns to another lender, and drops what has ended.
@@ -241,9 +241,9 @@
 	return missing
 }
 
-// shedIdle returns tokens that are not needed any more: after a pause all
+// returnIdle returns tokens that are not needed any more: after a pause all
 // that the demand does not cover, before that only what is far beyond it.
-func (a *account) shedIdle(now time.Time) {
+func (a *account) returnIdle(now time.Time) {
 	kept := a.demand.target()
 	if now.Sub(a.demand.lastAt) < idleAfter {
 		kept = 2*kept + 1
@@ -252,18 +252,18 @@
 }
 
 // deliver takes over the lender's answer. It implements owner.
-func (a *account) deliver(f *flight, g Grant, now time.Time) {
+func (a *account) deliver(f *pendingAsk, g Grant, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.flight != f {
+	if a.pending != f {
 		return
 	}
-	a.flight = nil
+	a.pending = nil
 	atOnce := 0
 	switch g.Status {
 	case StatusGranted:
 		a.current.answered(f, g)
-		a.standing.answered(f.ask.Contract, f.ask.Sequence)
+		a.standing.answered(f.ask.Contract, f.ask.Sequence, now)
 		a.reportSoon = g.ReportSoon
 		if now.Sub(f.sentAt) <= AskTimeout {
 			atOnce = g.AtOnce
@@ -280,15 +280,15 @@
 }
 
 // abandon gives up an ask without an answer. It implements owner.
-func (a *account) abandon(f *flight, handedOver bool, now time.Time) {
+func (a *account) abandon(f *pendingAsk, handedOver bool, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.flight != f {
+	if a.pending != f {
 		return
 	}
-	a.flight = nil
+	a.pending = nil
 	if !handedOver {
-		a.standing.undelivered(f.ask.Contract, f.ask.Sequence)
+		a.standing.undelivered(f.ask.Contract, f.ask.Sequence, now)
 	}
 	a.serve(0, now)
 	a.refuseAsked(ReasonLenderUnreachable, 0, now)
@@ -331,7 +331,7 @@
 	}
 	a.waiters = a.waiters[refused:]
 	if refused > 0 {
-		a.quietUntil = now.Add(min(maxQuiet, retryAfter))
+		a.askNotBefore = now.Add(min(maxAskPause, retryAfter))
 	}
 }
 
@@ -341,7 +341,7 @@
 	for _, w := range a.waiters {
 		w.asked = false
 	}
-	a.quietUntil = now.Add(maxQuiet / 2)
+	a.askNotBefore = now.Add(maxAskPause / 2)
 }
 
 // withdraw takes a request out of the waiting ones. It reports false when it
--- a/internal/limiter/holding.go
+++ b/internal/limiter/holding.go
@@ -79,8 +79,8 @@
 	}
 }
 
-// answered takes over the grant for the ask that a flight carried.
-func (h *holding) answered(f *flight, g Grant) {
+// answered takes over the grant for a pending ask.
+func (h *holding) answered(f *pendingAsk, g Grant) {
 	if f.ask.Contract == 0 {
 		h.ID = g.Contract
 		h.Epoch = g.Epoch
--- a/internal/limiter/leaser/leaser.go
+++ b/internal/limiter/leaser/leaser.go
@@ -199,22 +199,22 @@
 	step(ctx context.Context)
 }
 
-// A gate lets one step through at a time.
-type gate struct {
+// A stepLock lets one step through at a time.
+type stepLock struct {
 	sync.Mutex
 }
 
-func (g *gate) enter() bool {
-	return g.TryLock()
+func (s *stepLock) enter() bool {
+	return s.TryLock()
 }
 
 // wait waits for the step that is inside.
-func (g *gate) wait() {
-	g.Lock()
+func (s *stepLock) wait() {
+	s.Lock()
 }
 
-func (g *gate) exit() {
-	g.Unlock()
+func (s *stepLock) exit() {
+	s.Unlock()
 }
 
 // keepers lists all keepers, the slot's first.
--- a/internal/limiter/leaser/shard.go
+++ b/internal/limiter/leaser/shard.go
@@ -27,9 +27,9 @@
 // A shardKeeper holds the lease of one rate shard, or campaigns for it when
 // it is free.
 type shardKeeper struct {
-	gate   // Guards the fields that only steps use.
-	leaser *Leaser
-	number int
+	stepLock // Guards the fields that only steps use.
+	leaser   *Leaser
+	number   int
 
 	mu    sync.Mutex
 	phase phase
--- a/internal/limiter/leaser/slot.go
+++ b/internal/limiter/leaser/slot.go
@@ -25,7 +25,7 @@
 // lender needs a slot and has read the table after it took office; and when
 // the slot has been held for longer than a lender's table may be old.
 type slotKeeper struct {
-	gate
+	stepLock
 	leaser *Leaser
 
 	mu        sync.Mutex
--- a/internal/limiter/ledger.go
+++ b/internal/limiter/ledger.go
@@ -31,8 +31,8 @@
 // A ledgerShard holds the workspaces and engines whose names hash to it.
 type ledgerShard struct {
 	mu       sync.Mutex
-	accounts map[string]*account // By workspace.
-	desks    map[string]*desk    // By engine.
+	accounts map[string]*account       // By workspace.
+	engines  map[string]*permitAccount // By engine.
 }
 
 // NewLedger returns an empty ledger.
@@ -46,7 +46,7 @@
 	}
 	for i := range l.shards {
 		l.shards[i].accounts = make(map[string]*account)
-		l.shards[i].desks = make(map[string]*desk)
+		l.shards[i].engines = make(map[string]*permitAccount)
 	}
 	return l
 }
@@ -80,7 +80,7 @@
 	for _, server := range d.BackendServers {
 		if server.Kind == declarer.Engine && server.BatchBound > 0 {
 			engines[server.Name] = true
-			l.shard(server.Name).openDesk(l, server.Name, count)
+			l.shard(server.Name).openEngine(l, server.Name, count)
 		}
 	}
 	for i := range l.shards {
@@ -143,7 +143,7 @@
 	if f == nil {
 		return nil, pause, ok
 	}
-	b = &Batch{Lender: lender, flights: []*flight{f}}
+	b = &Batch{Lender: lender, pending: []*pendingAsk{f}}
 	b.finish()
 	return b, 0, true
 }
@@ -169,11 +169,11 @@
 // Deliver takes over the lender's answer to a batch. It returns a Waiter for
 // each workspace that has to be asked for again.
 func (l *Ledger) Deliver(b *Batch, answer BorrowAnswer) []*Waiter {
-	if len(answer.Grants) != len(b.flights) {
+	if len(answer.Grants) != len(b.pending) {
 		return l.Abandon(b, true)
 	}
 	now := l.clock.Now()
-	for i, f := range b.flights {
+	for i, f := range b.pending {
 		if answer.Grants[i].Status == StatusNotLender {
 			l.directory.Forget(f.shard, b.Lender)
 		}
@@ -186,7 +186,7 @@
 // lender may have got it or may still get it.
 func (l *Ledger) Abandon(b *Batch, handedOver bool) []*Waiter {
 	now := l.clock.Now()
-	for _, f := range b.flights {
+	for _, f := range b.pending {
 		f.owner.abandon(f, handedOver, now)
 	}
 	return b.waiting()
@@ -196,7 +196,7 @@
 // wait and nobody asks.
 func (b *Batch) waiting() []*Waiter {
 	var waiters []*Waiter
-	for _, f := range b.flights {
+	for _, f := range b.pending {
 		a, ok := f.owner.(*account)
 		if !ok {
 			continue
@@ -223,7 +223,7 @@
 // The slot must not be released meanwhile.
 func (l *Ledger) InTransit() bool {
 	for i := range l.shards {
-		if l.shards[i].inTransit() {
+		if l.shards[i].inTransit(l.clock.Now()) {
 			return true
 		}
 	}
@@ -252,7 +252,7 @@
 	}
 	if a.shard != shard {
 		a.shard = shard
-		a.flight = nil
+		a.pending = nil
 		a.refuseAll(ReasonNoLender)
 		a.reopen(now)
 	}
@@ -260,31 +260,31 @@
 	a.setSlot(l.slot.Load(), now)
 }
 
-// openDesk opens the desk of an engine, if there is none.
-func (s *ledgerShard) openDesk(l *Ledger, server string, shards int) {
+// openEngine opens the permitAccount of an engine, if there is none.
+func (s *ledgerShard) openEngine(l *Ledger, server string, shards int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	shard := ShardOf(EngineSubject(server), shards)
-	if d, ok := s.desks[server]; !ok || d.shard != shard {
+	if d, ok := s.engines[server]; !ok || d.shard != shard {
 		if ok {
 			d.close()
 		}
-		s.desks[server] = newDesk(l, &s.mu, server, shard)
+		s.engines[server] = newPermitAccount(l, &s.mu, server, shard)
 	}
 }
 
-// keep drops the accounts and desks that are not declared any more.
+// keep drops the accounts and engines that are not declared any more.
 func (s *ledgerShard) keep(workspaces, engines map[string]bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	maps.DeleteFunc(s.accounts, func(name string, a *account) bool {
 		if !workspaces[name] {
-			a.flight = nil
+			a.pending = nil
 			a.refuseAll(ReasonUnknownWorkspace)
 		}
 		return !workspaces[name]
 	})
-	maps.DeleteFunc(s.desks, func(name string, d *desk) bool {
+	maps.DeleteFunc(s.engines, func(name string, d *permitAccount) bool {
 		if !engines[name] {
 			d.close()
 		}
@@ -301,7 +301,7 @@
 			addTo(batches, lender, f)
 		}
 	}
-	for _, d := range s.desks {
+	for _, d := range s.engines {
 		lender := directory.Row(d.shard).Lender
 		if f, ok := d.collect(lender, now); ok {
 			addTo(batches, lender, f)
@@ -309,35 +309,35 @@
 	}
 }
 
-// addTo puts a flight into the batch of its lender.
-func addTo(batches map[string]*Batch, lender string, f *flight) {
+// addTo puts a pending ask into the batch of its lender.
+func addTo(batches map[string]*Batch, lender string, f *pendingAsk) {
 	b, ok := batches[lender]
 	if !ok {
 		b = &Batch{Lender: lender}
 		batches[lender] = b
 	}
-	b.flights = append(b.flights, f)
+	b.pending = append(b.pending, f)
 }
 
 func (s *ledgerShard) handBack() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, a := range s.accounts {
-		a.flight = nil
+		a.pending = nil
 		a.current.Amount = 0
 		a.old = nil
 		a.demand = demand{}
 	}
-	for _, d := range s.desks {
+	for _, d := range s.engines {
 		d.close()
 	}
 }
 
-func (s *ledgerShard) inTransit() bool {
+func (s *ledgerShard) inTransit(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, a := range s.accounts {
-		if a.standing.transit > 0 {
+		if a.standing.transit > 0 && now.Before(a.standing.transitEnd) {
 			return true
 		}
 	}
--- a/internal/limiter/lending.go
+++ b/internal/limiter/lending.go
@@ -50,7 +50,7 @@
 // renew starts the term of a contract again, unless more is lent than the
 // pool may lend since its part was cut. Then the contract ends on time, so
 // that the cut is in force after EndOfContracts at the latest.
-func (p *pool) renew(c *lent, grant *Grant, now time.Time) {
+func (p *pool) renew(c *lentContract, grant *Grant, now time.Time) {
 	grant.Renewed = p.outstanding <= p.part.Burst || c.Amount <= grant.Target
 	if !p.reusable {
 		grant.Renewed = p.aheadOut() <= p.half()
@@ -62,9 +62,9 @@
 }
 
 // find returns the contract of an ask, or opens one.
-func (p *pool) find(a Ask, borrower string, term lendingTerm) (*lent, Status) {
+func (p *pool) find(a Ask, borrower string, term lendingTerm) (*lentContract, Status) {
 	if a.Contract == 0 {
-		c := &lent{ID: term.ID}
+		c := &lentContract{ID: term.ID}
 		c.Contract = registrar.Contract{
 			Subject:  p.subject,
 			Lender:   term.Lender,
@@ -85,7 +85,7 @@
 }
 
 // report takes over the borrower's statement of what it holds and has spent.
-func (p *pool) report(c *lent, a Ask, now time.Time) {
+func (p *pool) report(c *lentContract, a Ask, now time.Time) {
 	held := max(0, a.Held)
 	released := c.Amount - held
 	used := 0
@@ -145,7 +145,7 @@
 // demand. The latter are at most half of what is free, so that the pool can
 // still answer other borrowers. While an earlier lender's contracts may be in
 // use, nothing is lent ahead: together it could exceed half of the burst.
-func (p *pool) lendTokens(c *lent, a Ask, grant *Grant, now time.Time) {
+func (p *pool) lendTokens(c *lentContract, a Ask, grant *Grant, now time.Time) {
 	grant.AtOnce = max(0, min(a.AtOnce, p.whole()))
 	p.take(c, grant.AtOnce)
 	if grant.AtOnce > 0 {
@@ -171,7 +171,7 @@
 }
 
 // lendPermits lends permits up to the borrower's fair part.
-func (p *pool) lendPermits(c *lent, a Ask, grant *Grant, now time.Time) {
+func (p *pool) lendPermits(c *lentContract, a Ask, grant *Grant, now time.Time) {
 	c.Wanted = c.Amount + max(0, a.Ahead)
 	grant.Target = p.fairPart(c, now)
 	grant.Ahead = max(0, min(a.Ahead, p.whole(), grant.Target-c.Amount))
@@ -179,7 +179,7 @@
 }
 
 // take moves an amount from the pool to a contract.
-func (p *pool) take(c *lent, amount int) {
+func (p *pool) take(c *lentContract, amount int) {
 	p.free = max(0, p.free-float64(amount))
 	p.outstanding += amount
 	c.Amount += amount
@@ -196,12 +196,12 @@
 
 // fairPart is the max-min fair part of a contract in the bound, given what
 // all borrowers want.
-func (p *pool) fairPart(c *lent, now time.Time) int {
-	contracts := make([]*lent, 0, len(p.contracts))
+func (p *pool) fairPart(c *lentContract, now time.Time) int {
+	contracts := make([]*lentContract, 0, len(p.contracts))
 	for _, other := range p.contracts {
 		contracts = append(contracts, other)
 	}
-	slices.SortFunc(contracts, func(x, y *lent) int { return p.compareClaims(x, y, now) })
+	slices.SortFunc(contracts, func(x, y *lentContract) int { return p.compareClaims(x, y, now) })
 	left := p.part.Burst
 	for i, other := range contracts {
 		// The claims are in rising order, so what a small claim leaves over
@@ -217,7 +217,7 @@
 
 // compareClaims orders by claim. The order of equal claims changes with time,
 // because it decides who gets the odd permits.
-func (p *pool) compareClaims(x, y *lent, now time.Time) int {
+func (p *pool) compareClaims(x, y *lentContract, now time.Time) int {
 	if x.Wanted != y.Wanted {
 		return x.Wanted - y.Wanted
 	}
--- a/internal/limiter/flight.go
+++ b/internal/limiter/pending.go
@@ -6,28 +6,27 @@
 	"time"
 )
 
-// A flight is an ask on its way to the lender. There is at most one for each
+// A pendingAsk is an ask on its way to the lender. There is at most one for each
 // subject.
-type flight struct {
+type pendingAsk struct {
 	owner  owner
 	shard  int
 	ask    Ask
 	sentAt time.Time // Before the ask was sent.
-	asked  int       // Requests that wait for the ask.
 }
 
 // An owner is an object of the ledger that has asks in flight. Its methods
 // take the lock of its shard.
 type owner interface {
-	deliver(f *flight, g Grant, now time.Time)
-	abandon(f *flight, handedOver bool, now time.Time)
+	deliver(f *pendingAsk, g Grant, now time.Time)
+	abandon(f *pendingAsk, handedOver bool, now time.Time)
 }
 
 // A Batch holds asks for one lender, which are sent in one message.
 type Batch struct {
 	Lender  string
 	Request BorrowRequest
-	flights []*flight
+	pending []*pendingAsk
 }
 
 // Wants tells whether an ask of the batch wants to borrow; otherwise the
@@ -41,10 +40,10 @@
 	return false
 }
 
-// finish writes the request for the flights of the batch.
+// finish writes the request for the asks of the batch.
 func (b *Batch) finish() {
-	slices.SortFunc(b.flights, func(x, y *flight) int { return strings.Compare(x.ask.Subject, y.ask.Subject) })
-	for _, f := range b.flights {
+	slices.SortFunc(b.pending, func(x, y *pendingAsk) int { return strings.Compare(x.ask.Subject, y.ask.Subject) })
+	for _, f := range b.pending {
 		b.Request.Asks = append(b.Request.Asks, f.ask)
 	}
 }
--- a/internal/limiter/desk.go
+++ b/internal/limiter/permit.go
@@ -19,8 +19,8 @@
 
 // Release gives the permit back. It may be called more than once.
 func (p Permit) Release() {
-	p.permit.desk.mu.Lock()
-	defer p.permit.desk.mu.Unlock()
+	p.permit.permitAccount.mu.Lock()
+	defer p.permit.permitAccount.mu.Unlock()
 	p.permit.end()
 }
 
@@ -32,20 +32,20 @@
 // ExpiresAt is the end of the permit unless it is renewed, by this process's
 // clock. Once the permit has ended the time does not change any more.
 func (p Permit) ExpiresAt() time.Time {
-	p.permit.desk.mu.Lock()
-	defer p.permit.desk.mu.Unlock()
+	p.permit.permitAccount.mu.Lock()
+	defer p.permit.permitAccount.mu.Unlock()
 	return p.permit.holding.ExpiresAt
 }
 
 // A permit is the state behind a Permit.
 type permit struct {
-	desk    *desk
-	holding *permitHolding // The contract that it belongs to.
-	expired chan struct{}
+	permitAccount *permitAccount
+	holding       *permitHolding // The contract that it belongs to.
+	expired       chan struct{}
 }
 
 // end takes the permit out of use. It reports whether it was in use. The
-// caller holds the desk's lock.
+// caller holds the permitAccount's lock.
 func (p *permit) end() bool {
 	i := slices.Index(p.holding.inUse, p)
 	if i < 0 {
@@ -76,17 +76,17 @@
 	return h.ID != 0 && h.ExpiresAt.Sub(now) > permitGuard
 }
 
-// A desk is an engine's batch permits as their borrower sees them.
-type desk struct {
+// A permitAccount is an engine's batch permits as their borrower sees them.
+type permitAccount struct {
 	ledger  *Ledger
-	mu      *sync.Mutex // Of the desk's shard of the ledger.
+	mu      *sync.Mutex // Of the permitAccount's shard of the ledger.
 	server  string
 	subject string
 	shard   int // Rate shard.
 
 	current *permitHolding   // With the present lender.
 	old     []*permitHolding // With earlier lenders; kept while their permits are in use.
-	flight  *flight
+	pending *pendingAsk
 
 	hint   int // What the user said it could use, in use included.
 	missed int // Permits asked for in vain since the last prefetch.
@@ -94,9 +94,9 @@
 	target int // Fair part as the lender said last.
 }
 
-// newDesk returns a desk without permits.
-func newDesk(l *Ledger, mu *sync.Mutex, server string, shard int) *desk {
-	d := &desk{ledger: l, mu: mu, server: server, subject: EngineSubject(server), shard: shard}
+// newPermitAccount returns a permitAccount without permits.
+func newPermitAccount(l *Ledger, mu *sync.Mutex, server string, shard int) *permitAccount {
+	d := &permitAccount{ledger: l, mu: mu, server: server, subject: EngineSubject(server), shard: shard}
 	d.reopen("")
 	return d
 }
@@ -108,7 +108,7 @@
 	now := l.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	d, ok := s.desks[server]
+	d, ok := s.engines[server]
 	if !ok {
 		return Permit{}, false
 	}
@@ -121,19 +121,19 @@
 	s := l.shard(server)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if d, ok := s.desks[server]; ok {
+	if d, ok := s.engines[server]; ok {
 		d.hint = n
 	}
 }
 
 // acquire takes a permit. The caller holds mu.
-func (d *desk) acquire(now time.Time) (Permit, bool) {
+func (d *permitAccount) acquire(now time.Time) (Permit, bool) {
 	h := d.current
 	if !h.safe(now) || len(h.inUse) >= min(h.Amount, d.target) {
 		d.missed++
 		return Permit{}, false
 	}
-	p := &permit{desk: d, holding: h, expired: make(chan struct{})}
+	p := &permit{permitAccount: d, holding: h, expired: make(chan struct{})}
 	h.inUse = append(h.inUse, p)
 	d.peak = max(d.peak, len(h.inUse))
 	return Permit{permit: p}, true
@@ -141,9 +141,9 @@
 
 // collect returns the ask that is due at a prefetch, if any, and ends what
 // was not renewed. The caller holds mu.
-func (d *desk) collect(lender string, now time.Time) (f *flight, ok bool) {
+func (d *permitAccount) collect(lender string, now time.Time) (f *pendingAsk, ok bool) {
 	d.endUnsafe(now)
-	if d.flight != nil || lender == "" {
+	if d.pending != nil || lender == "" {
 		return nil, false
 	}
 	if d.current.Lender != lender || (d.current.ID != 0 && !d.current.live(now)) {
@@ -158,13 +158,13 @@
 	}
 	ask := h.ask(d.subject, now)
 	ask.Ahead = ahead
-	d.flight = &flight{owner: d, shard: d.shard, ask: ask, sentAt: now}
-	return d.flight, true
+	d.pending = &pendingAsk{owner: d, shard: d.shard, ask: ask, sentAt: now}
+	return d.pending, true
 }
 
 // wanted is the number of permits that could be used, and starts a new period
 // of measurement.
-func (d *desk) wanted() int {
+func (d *permitAccount) wanted() int {
 	wanted := max(d.hint, d.peak+d.missed, len(d.current.inUse))
 	d.missed = 0
 	d.peak = len(d.current.inUse)
@@ -172,7 +172,7 @@
 }
 
 // endUnsafe ends the permits whose contract ends before it can be renewed.
-func (d *desk) endUnsafe(now time.Time) {
+func (d *permitAccount) endUnsafe(now time.Time) {
 	if !d.current.safe(now) {
 		d.current.endAll()
 	}
@@ -185,7 +185,7 @@
 }
 
 // reopen turns to a new contract. Permits in use stay until theirs ends.
-func (d *desk) reopen(lender string) {
+func (d *permitAccount) reopen(lender string) {
 	if d.current != nil && len(d.current.inUse) > 0 {
 		d.old = append(d.old, d.current)
 	}
@@ -195,8 +195,8 @@
 }
 
 // close ends all permits, such as when the engine is withdrawn.
-func (d *desk) close() {
-	d.flight = nil
+func (d *permitAccount) close() {
+	d.pending = nil
 	d.hint, d.missed, d.peak = 0, 0, 0
 	d.current.endAll()
 	for _, h := range d.old {
@@ -206,13 +206,13 @@
 }
 
 // deliver takes over the lender's answer. It implements owner.
-func (d *desk) deliver(f *flight, g Grant, _ time.Time) {
+func (d *permitAccount) deliver(f *pendingAsk, g Grant, _ time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.flight != f {
+	if d.pending != f {
 		return
 	}
-	d.flight = nil
+	d.pending = nil
 	switch g.Status {
 	case StatusGranted:
 		d.current.answered(f, g)
@@ -226,16 +226,16 @@
 }
 
 // abandon gives up an ask without an answer. It implements owner.
-func (d *desk) abandon(f *flight, _ bool, _ time.Time) {
+func (d *permitAccount) abandon(f *pendingAsk, _ bool, _ time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.flight == f {
-		d.flight = nil
+	if d.pending == f {
+		d.pending = nil
 	}
 }
 
 // signal tells that permits were lent.
-func (d *desk) signal() {
+func (d *permitAccount) signal() {
 	select {
 	case d.ledger.arrived <- struct{}{}:
 	default:
--- a/internal/limiter/pool.go
+++ b/internal/limiter/pool.go
@@ -7,9 +7,9 @@
 	"github.com/quetzalhitch/quetzalhitch/internal/registrar"
 )
 
-// A lent is a contract as its lender keeps it. Amount is what counts as lent;
+// A lentContract is a contract as its lender keeps it. Amount is what counts as lent;
 // ExpiresAt includes the margin.
-type lent struct {
+type lentContract struct {
 	registrar.Contract
 	ID        uint64
 	Sequence  uint64 // Of the last ask taken into account.
@@ -38,7 +38,7 @@
 	// when the pool is not full.
 	fullSince time.Time
 
-	contracts map[uint64]*lent
+	contracts map[uint64]*lentContract
 	// firstEnd is not after the first end of a contract or of its tokens lent
 	// at once. It saves looking at all contracts for each ask.
 	firstEnd time.Time
@@ -52,7 +52,7 @@
 		part:      part,
 		startedAt: startedAt,
 		settledAt: startedAt,
-		contracts: make(map[uint64]*lent),
+		contracts: make(map[uint64]*lentContract),
 	}
 }
 
@@ -183,7 +183,7 @@
 }
 
 // drop takes an amount out of a contract.
-func (p *pool) drop(c *lent, amount int) {
+func (p *pool) drop(c *lentContract, amount int) {
 	if amount == 0 {
 		return
 	}
@@ -193,7 +193,7 @@
 }
 
 // noteEnd keeps firstEnd valid for a contract.
-func (p *pool) noteEnd(c *lent) {
+func (p *pool) noteEnd(c *lentContract) {
 	end := c.ExpiresAt
 	if c.AtOnce > 0 && c.AtOnceEnd.Before(end) {
 		end = c.AtOnceEnd
