fix: refusals of oversized headers, panics in handlers, small pools

- A panic of a handler ended the process; it is answered as internal.
- With one server left of two, idempotent requests in flight on the dead one were refused.
They now run alone on the last one, in turn with others: servers die far more often for other reasons than a request.
- A stand-in that died right after it had opened could still take connections, because the server did not know its listener yet.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -157,13 +158,25 @@
 	s.HeaderReceived = a.limitsOf
 	handle := s.Handler
 	s.Handler = func(ctx *fasthttp.RequestCtx) {
-		handle(ctx)
+		a.handle(ctx, handle)
 		if a.draining.Load() {
 			ctx.SetConnectionClose() // The caller's next request goes to another instance.
 		}
 	}
 }
 
+// handle answers for fiber where it panics, which would end the process, and
+// where it answers an unknown method without JSON.
+func (a *Acceptor) handle(ctx *fasthttp.RequestCtx, handle fasthttp.RequestHandler) {
+	if fault := panics.Try(func() { handle(ctx) }); fault != nil {
+		a.cfg.Logger.WithField("stack", string(fault.Stack)).Error("a handler panicked")
+		_ = writeRefusal(ctx, refusalOf(fault.AsError()))
+	}
+	if ctx.Response.StatusCode() == fasthttp.StatusNotImplemented && !slices.Contains(a.app.Config().RequestMethods, string(ctx.Method())) {
+		_ = writeRefusal(ctx, refusalOf(fiber.ErrNotImplemented))
+	}
+}
+
 // limitsOf gives batch jobs a larger body than other requests.
 func (a *Acceptor) limitsOf(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
 	if h.IsPut() && len(h.RequestURI()) > len(batchPath) && string(h.RequestURI()[:len(batchPath)]) == batchPath {
--- a/internal/acceptor/bridge.go
+++ b/internal/acceptor/bridge.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"sync"
 
 	"github.com/quetzalhitch/quetzalhitch/internal/dispatcher"
 	"github.com/quetzalhitch/quetzalhitch/pkg/refuser"
@@ -82,6 +83,7 @@
 type streamReader struct {
 	bridge  *bridge
 	rest    []byte // Of the event that was not read to its end.
+	closing sync.Once
 	onClose func()
 }
 
@@ -100,10 +102,12 @@
 	return n, nil
 }
 
-// Close implements io.Closer. The server calls it once, at the end of the
-// stream and also when the caller cannot be reached.
+// Close implements io.Closer. The server calls it at the end of the stream and
+// when the caller cannot be reached.
 func (s *streamReader) Close() error {
-	close(s.bridge.gone)
-	s.onClose()
+	s.closing.Do(func() {
+		close(s.bridge.gone)
+		s.onClose()
+	})
 	return nil
 }
--- a/internal/acceptor/refusal.go
+++ b/internal/acceptor/refusal.go
@@ -6,6 +6,7 @@
 	"strconv"
 
 	"github.com/gofiber/fiber/v3"
+	"github.com/valyala/fasthttp"
 
 	"github.com/quetzalhitch/quetzalhitch/pkg/refuser"
 )
@@ -13,14 +14,19 @@
 // handleError answers with the refusal that an error stands for.
 func (a *Acceptor) handleError(c fiber.Ctx, err error) error {
 	refusal := refusalOf(err)
-	if refusal.Code == refuser.BodyTooLarge {
-		if conn, ok := c.RequestCtx().Conn().(*callerConn); ok {
-			conn.linger()
-		}
+	conn, ok := c.RequestCtx().Conn().(*callerConn)
+	if ok && leavesUnread(refusal.Code) {
+		conn.linger()
 	}
 	return Refuse(c, refusal)
 }
 
+// leavesUnread reports whether the server closes the connection after this
+// refusal although the caller may still send.
+func leavesUnread(code refuser.Code) bool {
+	return code == refuser.BodyTooLarge || code == refuser.HeaderTooLarge
+}
+
 // refusalOf translates errors of fiber. Their text is not passed on: it can
 // quote the request.
 func refusalOf(err error) *refuser.Refusal {
@@ -50,18 +56,25 @@
 
 // Refuse answers with a refusal.
 func Refuse(c fiber.Ctx, r *refuser.Refusal) error {
+	return writeRefusal(c.RequestCtx(), r)
+}
+
+func writeRefusal(ctx *fasthttp.RequestCtx, r *refuser.Refusal) error {
 	data, err := json.Marshal(r)
 	if err != nil {
 		return err
 	}
+	header := &ctx.Response.Header
 	if seconds := r.RetryAfterSeconds(); seconds > 0 {
-		c.Set(fiber.HeaderRetryAfter, strconv.Itoa(seconds))
+		header.Set(fiber.HeaderRetryAfter, strconv.Itoa(seconds))
 	}
 	if r.Status == fiber.StatusUnauthorized {
-		c.Set(fiber.HeaderWWWAuthenticate, "Bearer")
+		header.Set(fiber.HeaderWWWAuthenticate, "Bearer")
 	}
-	c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
-	return c.Status(r.Status).Send(data)
+	header.SetContentType(fiber.MIMEApplicationJSON)
+	ctx.SetStatusCode(r.Status)
+	ctx.SetBody(data)
+	return nil
 }
 
 // errorEvent is the last event of a stream that was cut.
--- a/internal/dispatcher/alone.go
+++ b/internal/dispatcher/alone.go
@@ -18,10 +18,15 @@
 	laneShards = 16
 	// serversPerLane is the number of candidates of a pool for each server that
 	// suspects may hold. With fewer, suspects would take the servers that
-	// everybody else needs.
+	// everybody else needs. A pool with few candidates has one place, also on
+	// its last server: most servers die for other reasons than a request, and
+	// two deaths end the suspicion.
 	serversPerLane = 4
 )
 
+// noServerMessage tells callers that a route has servers and none is available.
+const noServerMessage = "no backend server of the route takes requests"
+
 // errNoLane means that no server can be had for a suspect.
 var errNoLane = errors.New("no server is free to run a suspect request alone")
 
@@ -105,6 +110,12 @@
 	return turn
 }
 
+func (l *lane) inUse() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.busy > 0
+}
+
 func (l *lane) giveUp(turn chan struct{}) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -155,6 +166,30 @@
 	return t, nil
 }
 
+// takeAfterSuspects waits for a server that suspects hold, where no other is
+// left. It keeps its place in their queue until it is counted on the server, so
+// that the next suspect waits for it in turn.
+func (r *run) takeAfterSuspects(ctx context.Context, pool *registrar.Pool) (t taken, refusal *refuser.Refusal) {
+	lane := r.d.lanes.of(pool.Name)
+	if !lane.inUse() {
+		return t, r.noServer(noServerMessage)
+	}
+	waitCtx, cancel := context.WithTimeout(ctx, max(r.remaining(), time.Millisecond))
+	defer cancel()
+	if err := lane.enter(waitCtx, places(pool)); err != nil {
+		if ctx.Err() != nil {
+			return t, r.cancelled(ctx)
+		}
+		return t, r.noServer(noServerMessage)
+	}
+	defer lane.leave()
+	decision, err := r.choose(pool)
+	if err != nil {
+		return t, r.noServer(noServerMessage)
+	}
+	return r.takeChosen(decision), nil
+}
+
 func (r *run) takeAgain(ctx context.Context) (taken, *refuser.Refusal) {
 	if refusal := r.checkQuarantine(); refusal != nil {
 		return taken{}, refusal
--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -53,12 +53,16 @@
 	}
 	decision, err := r.choose(pool)
 	if err != nil {
-		return t, r.noServer("no backend server of the route takes requests")
+		return r.takeAfterSuspects(ctx, pool)
 	}
+	return r.takeChosen(decision), nil
+}
+
+func (r *run) takeChosen(decision router.Decision) taken {
 	s := decision.Server
 	s.Begin(registrar.Online)
 	r.d.makeRoom(s)
-	return taken{server: s, decision: decision, release: func() { s.End(registrar.Online) }}, nil
+	return taken{server: s, decision: decision, release: func() { s.End(registrar.Online) }}
 }
 
 // choose prefers servers that were not tried. Where all were, one that still
--- a/internal/dispatcher/dispatch_test.go
+++ b/internal/dispatcher/dispatch_test.go
@@ -20,6 +20,9 @@
 	r := newRig(t, 2, 1)
 	// Guards against a path that loses or cuts answers without any fault.
 	t.Run("whole, stream and service", func(t *testing.T) {
+		assert.Equal(t, completion("", 1, true).outbound().Lane, sender.LaneOnline)
+		assert.Equal(t, call("GET", "/", "", true).outbound().Lane, sender.LaneService)
+		assert.Equal(t, itemRequest(item("", 1)).Lane, sender.LaneBatch)
 		assertAnswered(t, r, completion("marker:m-1", 5, false), "m-1-4 ")
 		assertAnswered(t, r, completion("marker:m-2", 5, true), "[DONE]")
 		assertAnswered(t, r, call("GET", "/labels/l-7", "", true), "pallet-l-7")
@@ -90,6 +93,9 @@
 			refusal := r.Dispatch(context.Background(), order("o-1"), w)
 			placed := r.services[0].Orders("o-1") + r.services[1].Orders("o-1")
 			assert.Assert(t, placed <= 1, "placed %d times", placed)
+			if fault.CloseReused {
+				assert.Assert(t, refusal == nil, "the order went over a connection that had been used")
+			}
 			if refusal != nil {
 				assert.Equal(t, refusal.Outcome, refuser.Unknown)
 			}
@@ -191,9 +197,35 @@
 		assertRefused(t, r, crash, refuser.RequestQuarantined, refuser.NotRun)
 	}
 	assertReceived(t, r, "poison", 2)
+	for i := range 12 {
+		for j := range 6 {
+			neighbour := completion(fmt.Sprintf("marker:good-%d-%d", i, j), 30, false)
+			digest := r.newRun(neighbour, nil).digest
+			assert.Equal(t, r.cfg.Retrier.Suspicion(digest).Deaths, 0, "a neighbour that ran is still suspected")
+		}
+	}
 	assertAnswered(t, r, completion("marker:after", 5, false), "after-4 ")
 }
 
+// Guards against idempotent requests that are lost with one of two servers,
+// although the other one can run them, and against others that find no server
+// while it does.
+func TestDeathInSmallPool(t *testing.T) {
+	r := newRig(t, 2, 0)
+	var wg sync.WaitGroup
+	for i := range 8 {
+		wg.Go(func() {
+			for j := range 4 {
+				marker := fmt.Sprintf("m-%d-%d.", i, j)
+				assertAnswered(t, r, completion("marker:"+marker, 40, false), marker+"-39 ")
+			}
+		})
+	}
+	waitFor(t, "requests on both", func() bool { return r.engines[0].Running() > 1 && r.engines[1].Running() > 1 })
+	r.engines[0].Die()
+	wg.Wait()
+}
+
 func TestIntents(t *testing.T) {
 	r := newRig(t, 1, 1)
 	order := call("POST", "/orders", `{"order-id":"o-1"}`, false)
--- a/internal/dispatcher/item_test.go
+++ b/internal/dispatcher/item_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/quetzalhitch/quetzalhitch/internal/emulator/engineemulator"
+	"github.com/quetzalhitch/quetzalhitch/internal/registrar"
 	"github.com/quetzalhitch/quetzalhitch/pkg/refuser"
 )
 
@@ -134,6 +135,22 @@
 		end3()
 	})
 
+	// Guards against an item that is counted just before an online request comes
+	// and registered just after it, so that the request does not find it.
+	t.Run("an item that was not registered yet yields too", func(t *testing.T) {
+		r := newRig(t, 1, 0)
+		pool, _ := r.fleet.Pool("model/desk")
+		s := &seat{}
+		assert.NilError(t, r.seatAmong(item("marker:b-1", 10), pool, s))
+		for range 4 {
+			s.server.Begin(registrar.Online)
+		}
+		ctx, cancel := context.WithCancelCause(context.Background())
+		r.displacer.add("engine-0", cancel)
+		r.recheck(s, cancel)
+		assert.ErrorIs(t, context.Cause(ctx), ErrYielded)
+	})
+
 	// Guards against items that run on after their permit went to another entry.
 	t.Run("an expired permit ends the item", func(t *testing.T) {
 		r := newRig(t, 1, 0)
--- a/internal/emulator/host.go
+++ b/internal/emulator/host.go
@@ -19,9 +19,10 @@
 	handler http.Handler
 	wait    conc.WaitGroup
 
-	mu      sync.Mutex
-	address string       // Bound address once it was open.
-	server  *http.Server // Nil while the host is dead.
+	mu       sync.Mutex
+	address  string       // Bound address once it was open.
+	server   *http.Server // Nil while the host is dead.
+	listener net.Listener // Of server, which knows it only once it serves.
 }
 
 // NewHost returns a host that is not open yet. The port 0 lets the operating
@@ -56,6 +57,7 @@
 	server := &http.Server{Handler: h.handler, ConnContext: countRequests}
 	h.address = listener.Addr().String()
 	h.server = server
+	h.listener = listener
 	h.wait.Go(func() { _ = server.Serve(listener) })
 	return nil
 }
@@ -67,6 +69,7 @@
 	if h.server == nil {
 		return
 	}
+	_ = h.listener.Close()
 	_ = h.server.Close()
 	h.server = nil
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -236,12 +236,9 @@
 	return best
 }
 
-// chooseAlone takes the server with the least load, and none if it is the last
-// of its pool. Suspects are rare, so that a look at all servers does no harm.
+// chooseAlone takes the server with the least load. Suspects are rare, so that
+// a look at all servers does no harm.
 func (r *Router) chooseAlone(pool *registrar.Pool, q Query, d *Decision) {
-	if d.Candidates < 2 {
-		return
-	}
 	leastLoad := 0
 	for _, g := range pool.Groups {
 		for _, s := range g.Candidates() {
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -146,7 +146,9 @@
 			r := get(startRaw(t, c.script))
 			r.Progress = 200 * time.Millisecond
 			r.NeedsDone = true
+			started := time.Now()
 			text, err := readAll(t, New(Config{MaxAnswerBytes: 50}), r)
+			assert.Assert(t, time.Since(started) < 2*time.Second, "the deadline on progress did not hold")
 			if c.want != "" {
 				assertFailure(t, err, c.want, true)
 				return
@@ -185,6 +187,35 @@
 		}
 	})
 
+	// Guards against lookups that wait for the connections of batch items.
+	t.Run("lanes share no connections", func(t *testing.T) {
+		service := startService(t)
+		service.SetFault(serviceemulator.Fault{Stall: true, Only: "batch"})
+		s := New(Config{MaxConns: 1})
+		r := get(service.Address())
+		r.Lane, r.Path, r.FirstByte = LaneBatch, "/labels/batch", time.Minute
+		ctx, cancel := context.WithCancel(context.Background())
+		stalled := make(chan error, 1)
+		go func() {
+			_, err := s.Send(ctx, r)
+			stalled <- err
+		}()
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if len(service.Journal().Containing("batch")) == 1 {
+				return poll.Success()
+			}
+			return poll.Continue("the batch call has not come")
+		})
+		r.Path = "/labels/l-1"
+		_, err := readAll(t, s, r)
+		assertFailure(t, err, CauseBusy, false)
+		r.Lane = LaneService
+		_, err = readAll(t, s, r)
+		assert.NilError(t, err)
+		cancel()
+		assertFailure(t, <-stalled, CauseCancelled, true)
+	})
+
 	// Guards against a call that runs twice because a connection pool made it
 	// again, and against a dial failure that is reported as unknown.
 	t.Run("a fresh connection is used once", func(t *testing.T) {
