feat: scheduler of batch chunks

Batch jobs of many workspaces share the same lanes. The scheduler decides which job gives the next chunk: the least served workspace first, by tokens done with a half-life of ten minutes, and within it the job that has to start first. A job that would be late goes first only while its workspace is at most 50,000 tokens ahead of the least served one.

Ruled out: order by due time alone (a workspace with many early due times takes everything); round robin over workspaces (large items count as small ones); a heap of workspaces (the scan over at most 250 is simpler and the cost in jobs stays logarithmic).

--- /dev/null
+++ b/internal/scheduler/scheduler_test.go
@@ -0,0 +1,210 @@
+package scheduler
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+)
+
+const testLane = "model/lm-desk"
+
+// A world is a scheduler with a clock that the test moves.
+type world struct {
+	*Scheduler
+	clock *clockwork.FakeClock
+	done  map[string]float64 // Tokens by workspace.
+}
+
+func newWorld() *world {
+	clock := clockwork.NewFakeClock()
+	return &world{Scheduler: New(Config{Clock: clock}), clock: clock, done: make(map[string]float64)}
+}
+
+func (w *world) add(workspace, job string, dueIn time.Duration, items int) Key {
+	k := Key{Workspace: workspace, Job: job}
+	w.Add(Job{Key: k, Lane: testLane, Due: w.clock.Now().Add(dueIn), Remaining: items})
+	return k
+}
+
+// run serves chunks, each of which takes the time and tokens of its workspace.
+func (w *world) run(chunks int, tokens func(workspace string) float64) {
+	for range chunks {
+		d, ok := w.Next(testLane, 100)
+		if !ok {
+			return
+		}
+		w.clock.Advance(time.Second)
+		work := tokens(d.Job.Workspace)
+		w.Settle(d, 100, work)
+		w.done[d.Job.Workspace] += work
+	}
+}
+
+// assertNext checks the next choice and settles it without work.
+func (w *world) assertNext(t *testing.T, job string, reason Reason) {
+	t.Helper()
+	d, ok := w.Next(testLane, 100)
+	assert.Assert(t, ok)
+	w.Settle(d, 0, 0)
+	assert.Equal(t, d.Job.Job, job)
+	assert.Equal(t, d.Reason, reason)
+}
+
+// Guards against a workspace that gets more than its share by many jobs, early
+// due times or large items, to the harm of the worst-served one.
+func TestFairness(t *testing.T) {
+	equal := func(string) float64 { return 50_000 }
+	cases := []struct {
+		name   string
+		dueIn  time.Duration
+		tokens func(workspace string) float64
+	}{
+		{"many jobs", 8 * time.Hour, equal},
+		{"many jobs that are due", 0, equal},
+		{"many jobs that are due, of large items", 0, func(workspace string) float64 {
+			if workspace == "greedy" {
+				return 400_000
+			}
+			return 50_000
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld()
+			for i := range 200 {
+				w.add("greedy", fmt.Sprint(i), c.dueIn, 100_000)
+			}
+			for i := range 7 {
+				w.add(fmt.Sprintf("modest-%d", i), "only", 8*time.Hour, 1_000_000)
+			}
+			w.run(4000, c.tokens)
+			total := 0.0
+			for _, done := range w.done {
+				total += done
+			}
+			for workspace, done := range w.done {
+				if workspace != "greedy" {
+					assert.Assert(t, done >= 0.9*total/8, "%s has %.3f of its share", workspace, 8*done/total)
+				}
+			}
+			assert.Equal(t, len(w.done), 8)
+		})
+	}
+}
+
+// Guards against capacity that a workspace leaves unused and others do not get,
+// and against credit that it collects meanwhile.
+func TestAbsentWorkspace(t *testing.T) {
+	w := newWorld()
+	w.add("early", "a", 8*time.Hour, 1_000_000)
+	w.run(300, func(string) float64 { return 50_000 })
+	assert.Equal(t, w.done["early"], 300*50_000.0)
+	w.add("late", "b", 8*time.Hour, 1_000_000)
+	clear(w.done)
+	w.run(100, func(string) float64 { return 50_000 })
+	assert.Assert(t, w.done["early"] >= 45*50_000, "the late workspace displaces the early one: %v", w.done)
+	assert.Assert(t, w.done["late"] >= 45*50_000, "%v", w.done)
+}
+
+// Guards against a job that is late although another could wait.
+func TestUrgency(t *testing.T) {
+	t.Run("earliest latest start within a workspace", func(t *testing.T) {
+		w := newWorld()
+		w.add("w", "small", 2*time.Hour, 100)
+		w.add("w", "large", 4*time.Hour, 110_000) // Three hours of work.
+		w.assertNext(t, "large", FairShare)
+	})
+	t.Run("late job before the fair order", func(t *testing.T) {
+		w := newWorld()
+		w.add("a", "calm", 8*time.Hour, 1000)
+		w.add("b", "late", 10*time.Second, 1000)
+		d, _ := w.Next(testLane, 100)
+		w.Settle(d, 100, 10_000)
+		w.assertNext(t, "late", DueSoon)
+	})
+	t.Run("late job of a workspace that is far ahead", func(t *testing.T) {
+		w := newWorld()
+		w.add("b", "late", 0, 100_000)
+		w.run(1, func(string) float64 { return 2 * DefaultUrgentAllowance })
+		w.add("a", "calm", 8*time.Hour, 1000)
+		w.accounts.get("a").raise(w.clock.Now(), 0)
+		w.accounts.get("b").raise(w.clock.Now(), w.Served("a")+2*DefaultUrgentAllowance)
+		w.assertNext(t, "calm", FairShare)
+	})
+}
+
+// Guards against jobs that are chosen while they are parked, or never again.
+func TestParkAndRemove(t *testing.T) {
+	w := newWorld()
+	first := w.add("w", "first", time.Hour, 100)
+	w.add("w", "second", 2*time.Hour, 100)
+	w.Park(testLane, first, w.clock.Now().Add(time.Minute))
+	w.assertNext(t, "second", FairShare)
+	at, ok := w.NextWake(testLane)
+	assert.Assert(t, ok)
+	w.clock.Advance(at.Sub(w.clock.Now()))
+	w.assertNext(t, "first", FairShare)
+	w.Remove(testLane, first)
+	w.Remove(testLane, first)
+	w.assertNext(t, "second", FairShare)
+	assert.Equal(t, w.Jobs(), 1)
+	_, ok = w.Next("another lane", 100)
+	assert.Assert(t, !ok)
+}
+
+// Guards against a heap or queue that is left inconsistent by some order of
+// calls.
+func TestRandomCalls(t *testing.T) {
+	w := newWorld()
+	r := rand.New(rand.NewPCG(1, 2))
+	known := make(map[Key]bool)
+	for range 20_000 {
+		k := Key{Workspace: fmt.Sprint(r.IntN(5)), Job: fmt.Sprint(r.IntN(20))}
+		switch r.IntN(5) {
+		case 0:
+			w.Add(Job{Key: k, Lane: testLane, Due: w.clock.Now().Add(time.Duration(r.IntN(100)) * time.Minute), Remaining: r.IntN(5000)})
+			known[k] = true
+		case 1:
+			w.Remove(testLane, k)
+			delete(known, k)
+		case 2:
+			w.Park(testLane, k, w.clock.Now().Add(time.Duration(r.IntN(30))*time.Second))
+		case 3:
+			w.SetRemaining(testLane, k, r.IntN(5000))
+		default:
+			if d, ok := w.Next(testLane, 100); ok {
+				assert.Assert(t, known[d.Job.Key])
+				w.Settle(d, 100, float64(r.IntN(100_000)))
+			}
+			w.clock.Advance(time.Second)
+		}
+		assert.Equal(t, w.Jobs(), len(known))
+	}
+}
+
+// BenchmarkNext measures a choice with its charge, for 250 workspaces.
+func BenchmarkNext(b *testing.B) {
+	for _, jobs := range []int{100, 1000, 34_000} {
+		b.Run(fmt.Sprint(jobs), func(b *testing.B) {
+			s := New(Config{Clock: clockwork.NewRealClock()})
+			now := time.Now()
+			for i := range jobs {
+				s.Add(Job{
+					Key: Key{Workspace: fmt.Sprint(i % 250), Job: fmt.Sprint(i)}, Lane: testLane,
+					Due: now.Add(time.Duration(i%1000) * time.Minute), Remaining: 1 << 30,
+				})
+			}
+			for b.Loop() {
+				d, ok := s.Next(testLane, 100)
+				if !ok {
+					b.Fatal("no job")
+				}
+				s.Settle(d, 100, 50_000)
+			}
+		})
+	}
+}
