--- a/internal/receiver/results.go
+++ b/internal/receiver/results.go
@@ -60,7 +60,7 @@
 func (g *guardedWriter) Write(p []byte) (n int, err error) {
 	now := g.receiver.cfg.Clock.Now()
 	if now.Sub(g.checkedAt) >= recheckPeriod {
-		if _, refusal := g.receiver.cfg.Keys.Workspace(g.key); false {
+		if _, refusal := g.receiver.cfg.Keys.Workspace(g.key); refusal != nil {
 			return 0, refusal
 		}
 		g.checkedAt = now
