--- a/internal/batcher/batcher_test.go
+++ b/internal/batcher/batcher_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/quetzalhitch/quetzalhitch/internal/archiver"
 	"github.com/quetzalhitch/quetzalhitch/pkg/refuser"
 )
 
@@ -31,10 +32,38 @@
 	}
 }
 
+// Guards against items and results that do not fit into one message, and against
+// parts that are lost or out of order.
+func TestLargeItems(t *testing.T) {
+	large := `"` + strings.Repeat("x", maxResultBytes-2) + `"`
+	for name, upload := range map[string]string{
+		"items":   strings.ReplaceAll(lines(10), `"lm-desk"`, large),
+		"results": lines(10),
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			m := f.join("entry-1", func(context.Context, Item) (ItemResult, error) {
+				return ItemResult{StatusCode: 200, Body: []byte(large)}, nil
+			})
+			_, err := m.Submit(t.Context(), submission(upload))
+			assert.NilError(t, err)
+			m.assertEnds(t, Completed)
+			for _, line := range m.assertResults(t, 10) {
+				assert.Equal(t, string(line.Body), large)
+			}
+			assert.Assert(t, len(f.archive.objects) > 2)
+			for name, object := range f.archive.objects {
+				assert.Assert(t, len(object) <= archiver.MaxObjectBytes, "%s has %d bytes", name, len(object))
+			}
+		})
+	}
+}
+
 // Guards against a job of the largest size that does not fit into its records,
 // and against platform calls that grow faster than the chunks.
 func TestLargestJob(t *testing.T) {
 	f := newFleet(t)
+	f.recheck = 5 * time.Second // Longer than the deletion of the records, as in service.
 	var count tally
 	first := f.join("entry-1", count.wrap(answer))
 	f.join("entry-2", count.wrap(answer))
--- a/internal/batcher/claim_test.go
+++ b/internal/batcher/claim_test.go
@@ -52,6 +52,37 @@
 	})
 }
 
+// Guards against index entries of failed submissions that stay for ever, and
+// against the removal of the entry of a job that is being submitted again.
+func TestOrphanedIndexEntry(t *testing.T) {
+	f := newFleet(t)
+	m := f.join("entry-1", nil)
+	orphan := OpenJob{Workspace: testJob.Workspace, Job: testJob.Job, Lane: "model/lm-desk", AcceptedAt: time.Now().Add(-2 * orphanAge)}
+	assertSurveyed := func(left bool) {
+		t.Helper()
+		j, _ := m.board.add(orphan, time.Now())
+		assert.ErrorIs(t, m.survey(t.Context(), j), errNoChunk)
+		_, err := m.store.Get(t.Context(), openKey(testJob))
+		assert.Equal(t, err == nil, left)
+	}
+	put := func(open OpenJob) {
+		t.Helper()
+		assert.NilError(t, m.ledger.replace(t.Context(), openKey(testJob), encode(open)))
+	}
+	put(orphan)
+	assertSurveyed(false)
+	put(orphan)
+	again := orphan
+	again.AcceptedAt = time.Now()
+	put(again) // Before its manifest is written.
+	assertSurveyed(true)
+	put(orphan)
+	manifest := m.submit(t, 1)
+	entry, err := m.store.Get(t.Context(), openKey(testJob))
+	assert.NilError(t, err)
+	assert.Equal(t, string(entry.Value), string(encode(manifest.open())))
+}
+
 // Guards against a takeover from a holder that could not renew its lease only
 // because the platform was away.
 func TestTakeoverGrace(t *testing.T) {
--- a/internal/batcher/fakes_test.go
+++ b/internal/batcher/fakes_test.go
@@ -292,6 +292,7 @@
 // A fleet is a platform, an archive and the instances that share them.
 type fleet struct {
 	t        *testing.T
+	recheck  time.Duration
 	platform *platform
 	archive  *memoryArchive
 }
@@ -299,6 +300,7 @@
 func newFleet(t *testing.T) *fleet {
 	return &fleet{
 		t:        t,
+		recheck:  50 * time.Millisecond,
 		platform: &platform{entries: make(map[string]storer.Entry), leases: make(map[int64]time.Time)},
 		archive:  &memoryArchive{objects: make(map[string][]byte)},
 	}
@@ -320,7 +322,7 @@
 		Instance: name, Store: m.store, Archive: f.archive, Runner: runner, Routes: batchable{},
 		Clock: clockwork.NewRealClock(), Logger: logger,
 		LeaseTTL: 300 * time.Millisecond, PollPeriod: 50 * time.Millisecond, CancelPeriod: 20 * time.Millisecond,
-		TakeoverGrace: 100 * time.Millisecond, RecheckPeriod: 50 * time.Millisecond, RetryPause: time.Millisecond,
+		TakeoverGrace: 100 * time.Millisecond, RecheckPeriod: f.recheck, RetryPause: time.Millisecond,
 		StallTime: 500 * time.Millisecond, MaxInFlight: 1000,
 		DoubtTime: 500 * time.Millisecond, HandBackTime: 200 * time.Millisecond,
 	})
--- a/internal/batcher/finder.go
+++ b/internal/batcher/finder.go
@@ -19,6 +19,9 @@
 	// firstDigits keeps the first listing small; it grows at once when there
 	// are few jobs.
 	firstDigits = 2
+	// A round makes up to maxListings, until it has seen enoughListed jobs.
+	maxListings  = 4
+	enoughListed = maxListed / 2
 )
 
 // A finder learns of open jobs and of cancellations from the platform. It knows
@@ -27,6 +30,7 @@
 type finder struct {
 	batcher *Batcher
 	digits  int
+	whole   bool   // The last listing took the whole index.
 	slice   uint32 // Among the 16^digits parts of the index.
 }
 
@@ -39,7 +43,11 @@
 // Hint makes an open job known at once, rather than at the next listing that
 // holds it.
 func (b *Batcher) Hint(open OpenJob) {
-	_, added := b.board.add(open, b.cfg.Clock.Now())
+	j, added := b.board.add(open, b.cfg.Clock.Now())
+	if !added && j.open.Lane != open.Lane { // A new submission under an old name.
+		b.forget(j)
+		_, added = b.board.add(open, b.cfg.Clock.Now())
+	}
 	b.scheduler.Add(scheduler.Job{Key: open.key(), Lane: open.Lane, Due: open.Due, Remaining: open.Items})
 	if added {
 		b.lanes.get(open.Lane)
@@ -56,28 +64,39 @@
 // run lists open jobs until ctx ends.
 func (f *finder) run(ctx context.Context) {
 	for {
-		again, err := f.poll(ctx)
-		if err != nil && ctx.Err() == nil {
+		if err := f.round(ctx); err != nil && ctx.Err() == nil {
 			f.batcher.platformFailed(err, "open jobs were not listed")
 		}
-		if again && err == nil {
-			continue
-		}
 		if !wait(ctx, f.batcher.cfg.Clock, f.batcher.cfg.PollPeriod) {
 			return
 		}
 	}
 }
 
-// poll takes in one listing. It asks to be called again when the listing was
-// shorter than it needs to be.
-func (f *finder) poll(ctx context.Context) (again bool, err error) {
+// round makes as many listings as one period allows.
+func (f *finder) round(ctx context.Context) (err error) {
+	total := 0
+	for range maxListings {
+		listed, err := f.poll(ctx)
+		if err != nil {
+			return err
+		}
+		total += listed
+		if f.whole || total >= enoughListed {
+			break
+		}
+	}
+	return nil
+}
+
+// poll takes in one listing.
+func (f *finder) poll(ctx context.Context) (jobs int, err error) {
 	b := f.batcher
 	prefix := f.prefix()
 	begun := b.cfg.Clock.Now()
 	entries, err := b.cfg.Store.List(ctx, prefix)
 	if err != nil {
-		return false, err
+		return 0, err
 	}
 	listed := make(map[scheduler.Key]bool, len(entries))
 	for _, entry := range entries {
@@ -96,7 +115,8 @@
 			b.forget(j)
 		}
 	}
-	return f.advance(len(entries)), nil
+	f.advance(len(entries))
+	return len(entries), nil
 }
 
 func (f *finder) prefix() string {
@@ -107,19 +127,18 @@
 }
 
 // advance chooses the next part of the index.
-func (f *finder) advance(listed int) (again bool) {
+func (f *finder) advance(listed int) {
+	f.whole = f.digits == 0
 	switch {
 	case listed < minListed && f.digits > 0:
 		f.digits--
 		f.slice >>= 4
-		return true
 	case listed > maxListed && f.digits < maxDigits:
 		f.digits++
 		f.slice <<= 4
 	default:
 		f.slice++
 	}
-	return false
 }
 
 // runCancels looks for cancelled jobs while chunks are in hand, until ctx ends.
--- a/internal/batcher/holder.go
+++ b/internal/batcher/holder.go
@@ -147,18 +147,30 @@
 
 	mu      sync.Mutex
 	missing map[string]time.Time // When the record of a holder was first missed.
+	present map[string]time.Time // When the record of a holder was last seen.
 }
 
+// maxPresent bounds what a census remembers; forgetting costs a read.
+const maxPresent = 1024
+
 // lapsed says whether a holder has been without a lease for the grace time. It
-// asks the platform. A platform that fails starts the grace time again, because
+// asks the platform about a holder at most once in the grace time while its
+// record is there. A platform that fails starts the grace time again, because
 // the holder could not renew its lease either.
 func (c *census) lapsed(ctx context.Context, id string) (lapsed bool, err error) {
+	if c.seenLately(id) {
+		return false, nil
+	}
 	_, err = c.ledger.store.Get(ctx, holderPrefix+id)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case err == nil:
 		delete(c.missing, id)
+		if c.present == nil || len(c.present) >= maxPresent {
+			c.present = make(map[string]time.Time)
+		}
+		c.present[id] = c.ledger.clock.Now()
 		return false, nil
 	case !errors.Is(err, storer.ErrNotFound):
 		c.missing = nil
@@ -176,6 +188,13 @@
 	return now.Sub(since) >= c.grace, nil
 }
 
+func (c *census) seenLately(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	at, ok := c.present[id]
+	return ok && c.ledger.clock.Now().Sub(at) < c.grace
+}
+
 // suspects says whether the record of a holder has been missed.
 func (c *census) suspects(id string) bool {
 	c.mu.Lock()
--- a/internal/batcher/ledger.go
+++ b/internal/batcher/ledger.go
@@ -16,6 +16,8 @@
 	// fails; they double.
 	firstPause = 50 * time.Millisecond
 	lastPause  = 2 * time.Second
+
+	maxReplaceConflicts = 5
 )
 
 // A ledger reads and writes the records of batch jobs. A write whose answer is
@@ -142,6 +144,21 @@
 	return l.delete(ctx, key, entry.Version)
 }
 
+// replace writes a key over whatever it holds.
+func (l *ledger) replace(ctx context.Context, key string, value []byte) (err error) {
+	for range maxReplaceConflicts {
+		entry, err := l.store.Get(ctx, key)
+		if err != nil && !errors.Is(err, storer.ErrNotFound) {
+			return err
+		}
+		r := storer.PutRequest{Key: key, Value: value, ExpectedVersion: entry.Version}
+		if _, err = l.put(ctx, r, equals(value)); !errors.Is(err, storer.ErrConflict) {
+			return err
+		}
+	}
+	return storer.ErrConflict
+}
+
 // ensure creates a key unless it is there.
 func (l *ledger) ensure(ctx context.Context, key string, value []byte) (err error) {
 	_, err = l.put(ctx, storer.PutRequest{Key: key, Value: value}, equals(value))
--- a/internal/batcher/submit.go
+++ b/internal/batcher/submit.go
@@ -131,9 +131,10 @@
 }
 
 // accept writes the index entry and then the manifest, which makes the job
-// accepted.
+// accepted. An entry that an earlier submission has left is written over, so
+// that nobody removes it for its age.
 func (b *Batcher) accept(ctx context.Context, m Manifest) (Manifest, error) {
-	if err := b.ledger.ensure(ctx, openKey(m.key()), encode(m.open())); err != nil {
+	if err := b.ledger.replace(ctx, openKey(m.key()), encode(m.open())); err != nil {
 		// Without a manifest the job does not exist, whatever became of the entry.
 		return Manifest{}, platformRefusal("the platform does not take the entry of the job")
 	}
--- a/internal/batcher/survey.go
+++ b/internal/batcher/survey.go
@@ -56,13 +56,27 @@
 }
 
 // surveyOrphan looks at an index entry without a manifest: its submission is
-// under way or has failed.
+// under way or has failed. The entry that was listed may have been written over
+// since, so it is read again and deleted at the version that was read.
 func (b *Batcher) surveyOrphan(ctx context.Context, j *job) (err error) {
-	if b.cfg.Clock.Now().Sub(j.open.AcceptedAt) < orphanAge {
+	entry, err := b.cfg.Store.Get(ctx, j.indexKey)
+	if errors.Is(err, storer.ErrNotFound) {
+		b.forget(j)
+		return errNoChunk
+	}
+	var open OpenJob
+	if err == nil {
+		err = decode(entry.Key, entry.Value, &open)
+	}
+	if err != nil {
+		return err
+	}
+	if b.cfg.Clock.Now().Sub(open.AcceptedAt) < orphanAge {
 		b.park(j, earlyPause)
 		return errNoChunk
 	}
-	if err = b.ledger.drop(ctx, j.indexKey); err != nil {
+	err = b.ledger.delete(ctx, j.indexKey, entry.Version)
+	if err != nil && !errors.Is(err, storer.ErrConflict) {
 		return err
 	}
 	b.forget(j)
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -15,6 +15,7 @@
 	exitOK      = 0
 	exitFailure = 1
 	exitUsage   = 2
+	exitPending = 3 // Accepted, but not confirmed by every instance in time.
 	exitInDoubt = 4 // It is unknown whether the change was accepted.
 
 	exitIncomplete = 5 // A job that was waited for did not do all its items.
@@ -22,7 +23,13 @@
 
 // Args are the command line arguments of the binary.
 type Args struct {
+	Apply   *ApplyCmd   `arg:"subcommand:apply" help:"put a release note into force"`
+	Check   *CheckCmd   `arg:"subcommand:check" help:"report the faults of settings, declarations and release notes"`
+	Dev     *DevCmd     `arg:"subcommand:dev" help:"run two entries and example backend servers in this process"`
+	Entry   *EntryCmd   `arg:"subcommand:entry" help:"run an entry instance"`
 	Job     *JobCmd     `arg:"subcommand:job" help:"submit, follow and cancel batch jobs"`
+	Key     *KeyCmd     `arg:"subcommand:key" help:"grant and withdraw keys of workspaces"`
+	Status  *StatusCmd  `arg:"subcommand:status" help:"show the configuration in force and where it is confirmed"`
 	Version *VersionCmd `arg:"subcommand:version" help:"print the version"`
 }
 
--- a/internal/commander/confirmation.go
+++ b/internal/commander/confirmation.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"os"
 	"text/tabwriter"
 	"time"
 
@@ -36,9 +35,9 @@
 	defer cancel()
 	ticker := time.NewTicker(statusInterval)
 	defer ticker.Stop()
-	defer c.progress.end()
+	defer c.progress.clear()
 	for {
-		c.progress.show(c.confirmed(), len(c.instances))
+		c.progress.show("%d of %d instances have confirmed", c.confirmed(), len(c.instances))
 		if c.complete() {
 			return
 		}
@@ -93,33 +92,3 @@
 	}
 	return merry.Wrap(table.Flush())
 }
-
-// A progress shows how many instances have confirmed, on one line of a
-// terminal; elsewhere it shows nothing.
-type progress struct {
-	w io.Writer // Nil when it is no terminal.
-}
-
-func newProgress(w io.Writer) *progress {
-	file, ok := w.(*os.File)
-	if !ok {
-		return &progress{}
-	}
-	info, err := file.Stat()
-	if err != nil || info.Mode()&os.ModeCharDevice == 0 {
-		return &progress{}
-	}
-	return &progress{w: w}
-}
-
-func (p *progress) show(confirmed, n int) {
-	if p.w != nil {
-		fmt.Fprintf(p.w, "\r%d of %d instances have confirmed", confirmed, n)
-	}
-}
-
-func (p *progress) end() {
-	if p.w != nil {
-		fmt.Fprintln(p.w)
-	}
-}
