--- a/internal/dispatcher/report.go
+++ b/internal/dispatcher/report.go
@@ -94,7 +94,7 @@
 		fieldChoice:     decision.Server.Name(),
 		fieldDomain:     decision.FailureDomain,
 		fieldReason:     decision.Reason,
-	}).Debug("routing decision")
+	}).Info("routing decision")
 }
 
 func (d *Dispatcher) reportItem(item Item, result ItemResult, err error, started time.Time) {
