feat: quarantines in the platform, and own revision in the status

Cause: an entry that started after a quarantine did not know it, and an entry named itself as not confirmed because only peers' heartbeats set a revision. Change: quarantined digests are kept in the platform under a lease of ten minutes, which needs no comparison of wall clocks; the installer confirms the own revision after all parts have taken it over.

--- a/internal/prover/path_test.go
+++ b/internal/prover/path_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/quetzalhitch/quetzalhitch/internal/tester"
+	"github.com/quetzalhitch/quetzalhitch/pkg/administrator"
 )
 
 // A job is the status of a batch job as callers see it.
@@ -35,6 +36,18 @@
 		assertOK(t, a)
 		assert.Assert(t, strings.Contains(a.body, "pallet-17"), "%s", a.body)
 	})
+	t.Run("the status names every entry as confirmed", func(t *testing.T) {
+		for _, entry := range b.Entries {
+			a := b.mustCall(entry.ID, get(b.OperatorKey, administrator.PathStatus))
+			assertOK(t, a)
+			var status administrator.StatusAnswer
+			assert.NilError(t, json.Unmarshal([]byte(a.body), &status))
+			assert.Equal(t, len(status.Instances), len(b.Entries))
+			for _, i := range status.Instances {
+				assert.Assert(t, i.Confirmed, "%s says %+v", entry.ID, i)
+			}
+		}
+	})
 	t.Run("an unknown key", func(t *testing.T) {
 		a := b.mustCall("entry-a1", chat("no-such-key", "stranger", 5, false))
 		assertRefused(t, a, "key-unknown", "not-run")
--- a/internal/registrar/roster.go
+++ b/internal/registrar/roster.go
@@ -93,6 +93,11 @@
 	r.update(r.self, func(m *member) { m.saidLeft = true })
 }
 
+// Confirm records the revision that is in force in this process.
+func (r *Roster) Confirm(revision int64) {
+	r.update(r.self, func(m *member) { m.instance.Revision = revision })
+}
+
 // Self returns this process's own instance.
 func (r *Roster) Self() Instance {
 	instance, _ := r.Instance(r.self)
--- a/internal/retrier/suspects.go
+++ b/internal/retrier/suspects.go
@@ -10,11 +10,12 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// DeathsToQuarantine is the number of servers that a request may take down.
+const DeathsToQuarantine = 2
+
 const (
 	// suspectShards is the number of parts of the table of suspects.
 	suspectShards = 16
-	// deathsToQuarantine is the number of servers that a request may take down.
-	deathsToQuarantine = 2
 	// quarantineTime is how long a request is refused, and how long a single
 	// death is remembered.
 	quarantineTime = 10 * time.Minute
@@ -134,7 +135,7 @@
 		return
 	}
 	shard.record(n.Digest, n.Server, now)
-	if n.Deaths >= deathsToQuarantine {
+	if n.Deaths >= DeathsToQuarantine {
 		shard.quarantine(n.Digest, now.Add(quarantineTime), now)
 	}
 }
@@ -169,7 +170,7 @@
 		return rec.suspicion(), false
 	}
 	rec.deaths = append(rec.deaths, serverDeath{server: server, at: now})
-	rec.quarantined = rec.quarantined || len(rec.deaths) >= deathsToQuarantine
+	rec.quarantined = rec.quarantined || len(rec.deaths) >= DeathsToQuarantine
 	rec.until = later(rec.until, now.Add(quarantineTime))
 	return rec.suspicion(), true
 }
--- a/internal/runner/assemble.go
+++ b/internal/runner/assemble.go
@@ -18,6 +18,7 @@
 	"github.com/quetzalhitch/quetzalhitch/internal/orderer"
 	"github.com/quetzalhitch/quetzalhitch/internal/placer"
 	"github.com/quetzalhitch/quetzalhitch/internal/publisher"
+	"github.com/quetzalhitch/quetzalhitch/internal/quarantiner"
 	"github.com/quetzalhitch/quetzalhitch/internal/receiver"
 	"github.com/quetzalhitch/quetzalhitch/internal/recorder"
 	"github.com/quetzalhitch/quetzalhitch/internal/registrar"
@@ -44,6 +45,7 @@
 	sender        *sender.Sender
 	prober        *sender.Prober
 	retrier       *retrier.Retrier
+	quarantiner   *quarantiner.Quarantiner
 	recorder      *recorder.Recorder
 	dispatcher    *dispatcher.Dispatcher
 	folder        *archiver.Folder // Nil without a disk.
@@ -63,6 +65,7 @@
 		{name: "leaser", starter: p.leaser},
 		{name: "heartbeater", starter: p.heartbeater},
 		{name: "prober", starter: p.prober},
+		{name: "quarantiner", starter: p.quarantiner},
 		{name: "recorder", starter: p.recorder},
 		{name: "spreader", starter: p.spreader},
 	}
@@ -225,6 +228,13 @@
 		Clock:  e.options.Clock,
 	})
 	p.retrier = retrier.New(retrier.Config{Clock: e.options.Clock, Announcer: p.spreader})
+	p.quarantiner = quarantiner.New(quarantiner.Config{
+		Store:   p.store,
+		Learner: p.retrier,
+		Clock:   e.options.Clock,
+		Logger:  e.options.Logger,
+	})
+	p.spreader.observe = p.quarantiner.Observe
 	p.recorder = recorder.New(e.settings.InstanceID, e.options.Clock.Now().UnixNano(), p.store, e.options.Clock)
 
 	gate := &admission{borrower: p.leaser.Borrower()}
@@ -302,6 +312,7 @@
 		authenticator: e.parts.authenticator,
 		fleet:         e.parts.fleet,
 		leaser:        e.parts.leaser,
+		roster:        e.parts.roster,
 		sender:        e.parts.sender,
 	})
 }
--- a/internal/runner/installer.go
+++ b/internal/runner/installer.go
@@ -22,6 +22,7 @@
 	authenticator *authenticator.Authenticator
 	fleet         *registrar.Fleet
 	leaser        *leaser.Leaser
+	roster        *registrar.Roster
 	sender        *sender.Sender
 }
 
@@ -37,6 +38,7 @@
 		addresses = append(addresses, server.Address)
 	}
 	i.sender.Retain(addresses)
+	i.roster.Confirm(s.Revision)
 }
 
 // A configuration gives other parts the revision in force.
--- a/internal/runner/spreader.go
+++ b/internal/runner/spreader.go
@@ -36,6 +36,10 @@
 	links *linker.Linker
 	log   logrus.FieldLogger
 	queue chan spreadMessage
+
+	// observe sees each notice of this entry; it must not wait. It is set
+	// before the first notice.
+	observe func(n retrier.Notice)
 }
 
 func newSpreader(links *linker.Linker, log logrus.FieldLogger) *spreader {
@@ -44,6 +48,7 @@
 
 // Announce tells the peers about a crash suspect.
 func (s *spreader) Announce(n retrier.Notice) {
+	s.observe(n)
 	s.enqueue(spreadMessage{kind: linker.KindSuspect, payload: n})
 }
 
