feat: batch jobs

Instances claim chunks by compare-and-swap; a claim expires with the lease of its holder, which one renewal keeps for all claims of the instance, and every later write expects the version of the claim. The first commit wins, so an item has at most one result. A chunk whose run ends early is handed back with the results that it has. Records are folded into the manifest at the end.

Lost answers are resolved by reading back. A holder whose lease has lapsed by the monotonic clock reads its record before it commits, so that results made during an outage are kept when nobody has taken the chunk over and dropped otherwise.

Open jobs are found in an index of small entries, because a listing of the manifests would read the results of a week.

Ruled out: claims bound to a lease themselves, which the platform deletes in an outage together with the work in hand; random picks of chunks, with which two instances wasted one write for each chunk; single chunks in the manifest, 72 KB read for each claim of a large job instead of some hundred bytes.

The refusal storage-unavailable is new.

--- /dev/null
+++ b/internal/batcher/batcher.go
@@ -0,0 +1,248 @@
+// Package batcher accepts batch jobs and runs their items.
+//
+// A job is a manifest in the platform and chunks of items on the disks of two
+// instances. An instance claims a chunk by compare-and-swap, runs its items,
+// stores the results on two disks and moves the record of the chunk to done on
+// the version of its claim. The first commit wins, so an item has at most one
+// result, whoever else ran it. When all chunks are done their records are
+// folded into the manifest.
+package batcher
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/panics"
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/scheduler"
+	"github.com/quetzalhitch/quetzalhitch/internal/storer"
+	"github.com/quetzalhitch/quetzalhitch/pkg/refuser"
+)
+
+// Errors by which a Runner says that an item was not tried to its end. Neither
+// counts as a try.
+var (
+	// ErrNoRoom means that no backend server takes the item now.
+	ErrNoRoom = merry.Sentinel("no room for batch items")
+	// ErrYielded means that online work displaced the item.
+	ErrYielded = merry.Sentinel("item yielded to online work")
+)
+
+// A Clock tells the time and waits.
+type Clock interface {
+	Now() time.Time
+	After(d time.Duration) <-chan time.Time
+}
+
+// A Store is the platform's key-value service.
+type Store interface {
+	Get(ctx context.Context, key string) (storer.Entry, error)
+	List(ctx context.Context, prefix string) ([]storer.Entry, error)
+	Put(ctx context.Context, r storer.PutRequest) (storer.Entry, error)
+	Delete(ctx context.Context, key string, expectedVersion int64) error
+	GrantLease(ctx context.Context, ttl time.Duration) (storer.Lease, error)
+	RenewLease(ctx context.Context, lease storer.Lease) (storer.Lease, error)
+	RevokeLease(ctx context.Context, id int64) error
+}
+
+// An Archive keeps bulk objects on the disks of several instances.
+type Archive interface {
+	// Ready returns an error when objects cannot be stored now.
+	Ready() error
+	// Put returns after enough instances hold the object.
+	Put(ctx context.Context, name string, data []byte) (replicas []string, err error)
+	Get(ctx context.Context, name string, replicas []string) ([]byte, error)
+}
+
+// A Runner runs one item on a backend server. Errors that match ErrNoRoom or
+// ErrYielded do not count as tries; any other error does.
+type Runner interface {
+	RunItem(ctx context.Context, item Item) (ItemResult, error)
+}
+
+// A RouteChecker finds the route of an item and refuses routes that do not take
+// batch work. Items of the same lane share room.
+type RouteChecker interface {
+	CheckRoute(item Item) (lane string, refusal *refuser.Refusal)
+}
+
+// Defaults of a Config.
+const (
+	// DefaultLeaseTTL bounds how long the chunks of a lost instance wait. With
+	// a renewal every third of it, 350 entries cost 35 writes a second.
+	DefaultLeaseTTL = 30 * time.Second
+	// DefaultPollPeriod is the time between two listings of open jobs.
+	DefaultPollPeriod = 10 * time.Second
+	// DefaultCancelPeriod bounds how long items of a cancelled job go on at
+	// other instances; 350 entries cost 175 reads a second.
+	DefaultCancelPeriod = 2 * time.Second
+	// DefaultTakeoverGrace lets a holder come back first after an outage of
+	// the platform.
+	DefaultTakeoverGrace = 5 * time.Second
+	// DefaultRecheckPeriod is the time between two looks at a job whose chunks
+	// are all in other hands.
+	DefaultRecheckPeriod = 30 * time.Second
+	// DefaultRetention is how long the results of an ended job stay readable.
+	DefaultRetention = 7 * 24 * time.Hour
+	// DefaultRetryPause is the pause before the second try of an item; the one
+	// before the third is four times as long, so that a backend server that
+	// restarts does not use up all tries.
+	DefaultRetryPause = 2 * time.Second
+	// DefaultStallTime is how long a chunk is kept while none of its items
+	// finds room. With the pause after it, half of the instances still probe for
+	// room at any moment when nobody has any.
+	DefaultStallTime = time.Minute
+	// DefaultItemTimeout is the end of a try that neither fails nor ends.
+	DefaultItemTimeout = 15 * time.Minute
+	// DefaultDoubtTime bounds how long a caller waits until a lost answer of
+	// the platform is resolved.
+	DefaultDoubtTime = 10 * time.Second
+	// DefaultHandBackTime bounds the calls of an instance that stops.
+	DefaultHandBackTime = 5 * time.Second
+	// DefaultMaxInFlight bounds the items in flight of one instance.
+	DefaultMaxInFlight = 256
+	// DefaultMaxChunks bounds the chunks in hand of one instance, and with
+	// them its memory: each holds up to 2 MiB of items and 25 MiB of results.
+	DefaultMaxChunks = 4
+)
+
+// A Config holds the parameters of a Batcher. Zero fields take the defaults.
+type Config struct {
+	Instance string // ID of this instance.
+	Store    Store
+	Archive  Archive
+	Runner   Runner
+	Routes   RouteChecker
+	Clock    Clock
+	Logger   logrus.FieldLogger
+
+	LeaseTTL      time.Duration
+	PollPeriod    time.Duration
+	CancelPeriod  time.Duration
+	TakeoverGrace time.Duration
+	RecheckPeriod time.Duration
+	Retention     time.Duration
+	RetryPause    time.Duration
+	StallTime     time.Duration
+	ItemTimeout   time.Duration
+	DoubtTime     time.Duration
+	HandBackTime  time.Duration
+	MaxInFlight   int
+	MaxChunks     int
+}
+
+func (c *Config) setDefaults() {
+	setDuration(&c.LeaseTTL, DefaultLeaseTTL)
+	setDuration(&c.PollPeriod, DefaultPollPeriod)
+	setDuration(&c.CancelPeriod, DefaultCancelPeriod)
+	setDuration(&c.TakeoverGrace, DefaultTakeoverGrace)
+	setDuration(&c.RecheckPeriod, DefaultRecheckPeriod)
+	setDuration(&c.Retention, DefaultRetention)
+	setDuration(&c.RetryPause, DefaultRetryPause)
+	setDuration(&c.StallTime, DefaultStallTime)
+	setDuration(&c.ItemTimeout, DefaultItemTimeout)
+	setDuration(&c.DoubtTime, DefaultDoubtTime)
+	setDuration(&c.HandBackTime, DefaultHandBackTime)
+	if c.MaxInFlight <= 0 {
+		c.MaxInFlight = DefaultMaxInFlight
+	}
+	if c.MaxChunks <= 0 {
+		c.MaxChunks = DefaultMaxChunks
+	}
+}
+
+func setDuration(d *time.Duration, value time.Duration) {
+	if *d <= 0 {
+		*d = value
+	}
+}
+
+// A Batcher accepts jobs and runs chunks of jobs.
+type Batcher struct {
+	cfg       Config
+	ledger    *ledger
+	holder    *holder
+	scheduler *scheduler.Scheduler
+	board     *board
+	lanes     *lanes
+	finder    *finder
+	census    *census
+	relists   *pacer       // Spaces the looks at jobs in other hands.
+	outage    *pacer       // Closed for a while after the platform has failed.
+	inHand    atomic.Int64 // Chunks that are claimed or being claimed; at most MaxChunks.
+	wake      chan struct{}
+}
+
+// New returns a Batcher. Jobs can be submitted and read before it is started.
+func New(cfg Config) *Batcher {
+	cfg.setDefaults()
+	b := &Batcher{
+		cfg:       cfg,
+		ledger:    &ledger{store: cfg.Store, clock: cfg.Clock, doubtTime: cfg.DoubtTime},
+		scheduler: scheduler.New(scheduler.Config{Clock: cfg.Clock}),
+		board:     newBoard(),
+		relists:   &pacer{clock: cfg.Clock},
+		outage:    &pacer{clock: cfg.Clock},
+		wake:      make(chan struct{}, 1),
+	}
+	b.census = &census{ledger: b.ledger, grace: cfg.TakeoverGrace}
+	b.holder = newHolder(b.ledger, cfg)
+	b.holder.onRenewed(b.recheckClaims)
+	b.lanes = newLanes(cfg.Clock, cfg.MaxInFlight, b.wakeUp)
+	b.finder = newFinder(b)
+	return b
+}
+
+// Start runs chunks until ctx ends; then it hands its claims back.
+func (b *Batcher) Start(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		done <- b.run(ctx)
+	}()
+	return done
+}
+
+func (b *Batcher) run(ctx context.Context) (err error) {
+	// The holder outlives the chunks, which commit or hand back at the end.
+	holderCtx, release := context.WithCancel(context.WithoutCancel(ctx))
+	defer release()
+	var holding conc.WaitGroup
+	holding.Go(func() { b.holder.run(holderCtx) })
+
+	// A part that panics ends the others.
+	parts := pool.New().WithContext(ctx).WithCancelOnError()
+	for _, part := range []func(context.Context){b.lanes.run, b.finder.run, b.finder.runCancels, b.work} {
+		parts.Go(func(ctx context.Context) error {
+			part(ctx)
+			return nil
+		})
+	}
+	caught := panics.Try(func() { _ = parts.Wait() })
+	release()
+	released := holding.WaitAndRecover()
+	return errors.Join(caught.AsError(), released.AsError())
+}
+
+// wakeUp makes the worker look for work.
+func (b *Batcher) wakeUp() {
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+}
+
+// wait returns false when ctx ended first.
+func wait(ctx context.Context, clock Clock, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-clock.After(d):
+		return true
+	}
+}
--- /dev/null
+++ b/internal/batcher/fold.go
@@ -0,0 +1,121 @@
+package batcher
+
+import (
+	"context"
+	"errors"
+
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/storer"
+)
+
+// foldWriters is the number of chunk records that are deleted side by side.
+const foldWriters = 4
+
+// fold moves the chunk records of a job that has ended into its manifest: of a
+// running job when all chunks are done, of a cancelled one when no claim has a
+// holder any more.
+func (b *Batcher) fold(
+	ctx context.Context, j *job, m Manifest, version int64, entries []chunkEntry,
+) (folded bool, err error) {
+	done := 0
+	for _, e := range entries {
+		if e.Record.State == ChunkDone {
+			done++
+		}
+	}
+	switch {
+	case m.State == Cancelled:
+		ended, err := b.fence(ctx, j, entries)
+		if err != nil || !ended {
+			return false, err
+		}
+	case done < len(m.Chunks):
+		return false, nil
+	default:
+		m.State = Completed
+		m.EndedAt = b.cfg.Clock.Now().UTC()
+	}
+	m.Folded = true
+	m.gather(entries)
+	err = b.ledger.updateManifest(ctx, m, version)
+	if errors.Is(err, storer.ErrConflict) { // Cancelled, repaired or folded meanwhile.
+		return false, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	b.cleanUp(ctx, m)
+	return true, nil
+}
+
+// fence makes sure that no holder can commit a chunk of a cancelled job any
+// more. It returns false when a claim still has a holder.
+func (b *Batcher) fence(ctx context.Context, j *job, entries []chunkEntry) (ended bool, err error) {
+	for _, e := range entries {
+		if e.Record.State != ChunkClaimed {
+			continue
+		}
+		lapsed, err := b.lapsed(ctx, j, e)
+		if err != nil || !lapsed {
+			return false, err
+		}
+		record := e.Record
+		record.State = ChunkReleased
+		_, err = b.ledger.writeChunk(ctx, j.key, e.Chunk, record, e.Version)
+		if errors.Is(err, storer.ErrConflict) {
+			return false, nil
+		}
+		if err != nil {
+			return false, err
+		}
+	}
+	return true, nil
+}
+
+// gather takes the results of the chunk records into the manifest and counts
+// them.
+func (m *Manifest) gather(entries []chunkEntry) {
+	chunks := append([]Chunk(nil), m.Chunks...)
+	m.Counts = Counts{}
+	for _, e := range entries {
+		if e.Chunk >= len(chunks) || e.Record.Results == nil {
+			continue
+		}
+		chunks[e.Chunk].Results = e.Record.Results
+		m.Counts.add(e.Record.Results.Counts)
+	}
+	m.Chunks = chunks
+	if m.State == Cancelled {
+		m.Counts.Cancelled = m.Items - m.Counts.Done - m.Counts.Failed
+	}
+}
+
+// cleanUp deletes what a folded job does not need. What remains after an error
+// is deleted by whoever meets the job in the index, which goes last.
+func (b *Batcher) cleanUp(ctx context.Context, m Manifest) {
+	err := b.deleteChunks(ctx, m)
+	if err == nil {
+		err = b.ledger.drop(ctx, cancelKey(m.key()))
+	}
+	if err == nil {
+		err = b.ledger.drop(ctx, openKey(m.key()))
+	}
+	if err != nil && ctx.Err() == nil {
+		b.cfg.Logger.WithError(err).WithField("job", m.Job).Warn("records of an ended job were left")
+	}
+}
+
+func (b *Batcher) deleteChunks(ctx context.Context, m Manifest) (err error) {
+	entries, err := b.ledger.chunks(ctx, m.key())
+	if err != nil {
+		return err
+	}
+	deleting := pool.New().WithErrors().WithContext(ctx).WithMaxGoroutines(foldWriters)
+	for _, e := range entries {
+		deleting.Go(func(ctx context.Context) error {
+			return b.ledger.delete(ctx, chunkKey(m.key(), e.Chunk), e.Version)
+		})
+	}
+	return deleting.Wait()
+}
--- /dev/null
+++ b/internal/batcher/lanes_test.go
@@ -0,0 +1,111 @@
+package batcher
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+)
+
+// An engine takes a number of items side by side and refuses the others.
+type engine struct {
+	room     atomic.Int64
+	inFlight atomic.Int64
+	refused  atomic.Int64
+	done     atomic.Int64
+}
+
+// run sends items through a lane until ctx ends.
+func (e *engine) run(ctx context.Context, l *lane, items int) {
+	var wg sync.WaitGroup
+	for range items {
+		wg.Go(func() {
+			for l.await(ctx, l.enqueue()) == nil {
+				l.release(e.item())
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func (e *engine) item() outcome {
+	defer e.inFlight.Add(-1)
+	if e.inFlight.Add(1) > e.room.Load() {
+		e.refused.Add(1)
+		return outcomeNoRoom
+	}
+	time.Sleep(5 * time.Millisecond) // The work of the engine, not a wait of the test.
+	e.done.Add(1)
+	return outcomeEnded
+}
+
+// Guards against a lane that leaves room unused for more than a second, exceeds
+// the bound of the instance, or sends many items that are refused.
+func TestLaneFollowsRoom(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	s := newLanes(clockwork.NewRealClock(), 48, func() {})
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	wg.Go(func() { s.run(ctx) })
+	var e engine
+	wg.Go(func() { e.run(ctx, s.get("a"), 100) })
+
+	// assertFills waits until the engine is full, at most the time in which
+	// idle capacity has to be found.
+	assertFills := func(t *testing.T, room int64) {
+		t.Helper()
+		e.room.Store(room)
+		begun := time.Now()
+		eventually(t, "the room is used", func() bool { return e.inFlight.Load() >= min(room, 48) })
+		t.Logf("used %d slots after %s", min(room, 48), time.Since(begun))
+		assert.Assert(t, time.Since(begun) < time.Second, "%s", time.Since(begun))
+	}
+	t.Run("grows", func(t *testing.T) { assertFills(t, 32) })
+	t.Run("shrinks", func(t *testing.T) {
+		e.room.Store(0)
+		l := s.get("a")
+		eventually(t, "one item at a time is tried", func() bool {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			return l.limit == 1 && l.inFlight == 0
+		})
+		begun, refused := time.Now(), e.refused.Load()
+		eventually(t, "items are refused", func() bool { return e.refused.Load() > refused+5 })
+		bound := int64(time.Since(begun)/roomPause) + 2
+		assert.Assert(t, e.refused.Load()-refused <= bound)
+	})
+	t.Run("grows again", func(t *testing.T) { assertFills(t, 8) })
+	t.Run("stays in the bound of the instance", func(t *testing.T) {
+		e.room.Store(1000)
+		done := e.done.Load()
+		eventually(t, "many items are done", func() bool {
+			assert.Assert(t, e.inFlight.Load() <= 48)
+			return e.done.Load() > done+2000
+		})
+	})
+}
+
+// Guards against an item that keeps a slot or its place in the queue after it
+// was given up.
+func TestLaneForgetsGivenUpItems(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	s := newLanes(clockwork.NewRealClock(), 1, func() {})
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	wg.Go(func() { s.run(ctx) })
+	l := s.get("a")
+	assert.NilError(t, l.await(ctx, l.enqueue()))
+	given, giveUp := context.WithCancel(ctx)
+	giveUp()
+	for range 3 {
+		assert.ErrorIs(t, l.await(given, l.enqueue()), context.Canceled)
+	}
+	l.release(outcomeEnded)
+	assert.NilError(t, l.await(ctx, l.enqueue()))
+}
--- /dev/null
+++ b/internal/batcher/submit.go
@@ -0,0 +1,258 @@
+package batcher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/scheduler"
+	"github.com/quetzalhitch/quetzalhitch/internal/storer"
+	"github.com/quetzalhitch/quetzalhitch/pkg/refuser"
+)
+
+const (
+	// uploadWriters is the number of chunks of an upload that are being stored
+	// side by side. With it an upload holds at most about 40 MiB: a line
+	// (1 MiB), the chunk that is being filled (2 MiB), those being stored
+	// (2 MiB each, and twice that for each of two messages) and the digests of
+	// the custom_ids (5 MiB).
+	uploadWriters = 3
+	refusalPause  = time.Second
+)
+
+// A Submission is a request to run a job.
+type Submission struct {
+	Workspace string
+	Job       string
+	Key       string        // The key that came with the request; no item may contain it. It is not kept.
+	DueIn     time.Duration // Time until the last result should be there.
+	Upload    io.Reader     // JSON lines.
+}
+
+// Submit accepts a job: when it returns without an error, the items lie on disk
+// and the manifest is in the platform. A job that was accepted before with the
+// same items is returned as it is, with its first due time. Errors of type
+// *refuser.Refusal are for the caller.
+func (b *Batcher) Submit(ctx context.Context, s Submission) (m Manifest, err error) {
+	if err = s.check(); err != nil {
+		return Manifest{}, err
+	}
+	k := scheduler.Key{Workspace: s.Workspace, Job: s.Job}
+	present, _, err := b.ledger.manifest(ctx, k)
+	switch {
+	case err == nil:
+		return b.resubmit(ctx, present, s)
+	case !errors.Is(err, storer.ErrNotFound):
+		return Manifest{}, b.readRefusal(err, k)
+	}
+	if err = b.cfg.Archive.Ready(); err != nil {
+		return Manifest{}, b.storageRefusal(err)
+	}
+	m = Manifest{Workspace: s.Workspace, Job: s.Job, Submission: newID(), State: Running}
+	if err = b.storeItems(ctx, &m, s); err != nil {
+		return Manifest{}, err
+	}
+	m.AcceptedAt = b.cfg.Clock.Now().UTC()
+	m.Due = m.AcceptedAt.Add(s.DueIn)
+	return b.accept(ctx, m)
+}
+
+func (s Submission) check() error {
+	if err := checkName("workspace", s.Workspace); err != nil {
+		return err
+	}
+	if err := checkName("job", s.Job); err != nil {
+		return err
+	}
+	if s.DueIn <= 0 || s.DueIn > MaxDueIn {
+		return badRequest("due-in is not between 0 and %s", MaxDueIn)
+	}
+	return nil
+}
+
+func checkName(what, name string) error {
+	if namePattern.MatchString(name) {
+		return nil
+	}
+	return badRequest("%s name %q does not match %s", what, clip(name), namePattern)
+}
+
+func badRequest(format string, args ...any) error {
+	return &refuser.Refusal{
+		Code: refuser.BadRequest, Message: fmt.Sprintf(format, args...),
+		Outcome: refuser.NotRun, Status: http.StatusBadRequest,
+	}
+}
+
+func (b *Batcher) storageRefusal(err error) error {
+	b.cfg.Logger.WithError(err).Warn("a job was refused because its items could not be stored")
+	return &refuser.Refusal{
+		Code: refuser.StorageUnavailable, Message: "too few disk instances are live",
+		Outcome: refuser.NotRun, Status: http.StatusServiceUnavailable, RetryAfter: refusalPause,
+	}
+}
+
+// resubmit compares an upload with a job that is there.
+func (b *Batcher) resubmit(ctx context.Context, present Manifest, s Submission) (m Manifest, err error) {
+	d := NewDecoder(s.Upload, s.Key)
+	for err == nil {
+		_, err = d.Next()
+	}
+	if !errors.Is(err, io.EOF) {
+		return Manifest{}, uploadRefusal(err)
+	}
+	return b.compare(ctx, present, d.Digest())
+}
+
+// compare returns a job that is there when it has the same items. Its index
+// entry is made sure of, since the acknowledgement of its submission may never
+// have been reached.
+func (b *Batcher) compare(ctx context.Context, present Manifest, digest string) (m Manifest, err error) {
+	if present.Digest != digest {
+		return Manifest{}, &refuser.Refusal{
+			Code: refuser.JobConflict, Message: "job " + present.Job + " was submitted with other items",
+			Outcome: refuser.NotRun, Status: http.StatusConflict,
+		}
+	}
+	if !present.Folded {
+		if err = b.ledger.ensure(ctx, openKey(present.key()), encode(present.open())); err != nil {
+			return Manifest{}, b.writeRefusal(err, "the entry of the job")
+		}
+		b.Hint(present.open())
+	}
+	return present, nil
+}
+
+// accept writes the index entry and then the manifest, which makes the job
+// accepted. An entry that an earlier submission has left is written over, so
+// that nobody removes it for its age.
+func (b *Batcher) accept(ctx context.Context, m Manifest) (Manifest, error) {
+	if err := b.ledger.replace(ctx, openKey(m.key()), encode(m.open())); err != nil {
+		// Without a manifest the job does not exist, whatever became of the entry.
+		return Manifest{}, platformRefusal("the platform does not take the entry of the job")
+	}
+	present, err := b.ledger.createManifest(ctx, m)
+	if err != nil {
+		return Manifest{}, b.writeRefusal(err, "the manifest of the job")
+	}
+	if present.Submission != m.Submission {
+		return b.compare(ctx, present, m.Digest)
+	}
+	b.Hint(m.open())
+	return m, nil
+}
+
+// storeItems decodes the upload and puts its chunks on disks.
+func (b *Batcher) storeItems(ctx context.Context, m *Manifest, s Submission) (err error) {
+	u := &upload{batcher: b, manifest: m, decoder: NewDecoder(s.Upload, s.Key)}
+	u.storing = pool.New().WithErrors().WithContext(ctx).WithCancelOnError().
+		WithFirstError().WithMaxGoroutines(uploadWriters)
+	readErr := u.read(ctx, s)
+	storeErr := u.storing.Wait()
+	var refusal *refuser.Refusal
+	switch {
+	case errors.As(readErr, &refusal):
+		return refusal
+	case readErr != nil && !errors.Is(readErr, errNotStored):
+		return uploadRefusal(readErr)
+	case storeErr != nil:
+		return b.storageRefusal(storeErr)
+	}
+	m.Items = u.decoder.Items()
+	m.Digest = u.decoder.Digest()
+	return nil
+}
+
+// errNotStored ends the reading of an upload after a chunk was not stored.
+var errNotStored = merry.Sentinel("a chunk was not stored")
+
+// An upload is a job on its way to disk.
+type upload struct {
+	batcher  *Batcher
+	manifest *Manifest
+	decoder  *Decoder
+	storing  *pool.ContextPool
+
+	items []Item // Of the chunk that is being filled.
+	bytes int    // Of items.
+
+	mu     sync.Mutex // Guards the replicas in manifest.Chunks, and failed.
+	failed bool
+}
+
+// read fills chunks until the upload ends.
+func (u *upload) read(ctx context.Context, s Submission) (err error) {
+	for {
+		item, err := u.decoder.Next()
+		if errors.Is(err, io.EOF) {
+			return u.flush(ctx)
+		}
+		if err != nil {
+			return err
+		}
+		if err = u.add(ctx, item, s); err != nil {
+			return err
+		}
+	}
+}
+
+// add puts an item into the chunk that is being filled.
+func (u *upload) add(ctx context.Context, item Item, s Submission) (err error) {
+	item.Workspace, item.Job = s.Workspace, s.Job
+	lane, refusal := u.batcher.cfg.Routes.CheckRoute(item)
+	if refusal != nil {
+		located := *refusal
+		located.Message = fmt.Sprintf("line %d: %s", u.decoder.line, refusal.Message)
+		return &located
+	}
+	item.Lane = lane
+	if u.manifest.Lane == "" {
+		u.manifest.Lane = lane
+	}
+	size := len(item.Body) + len(item.URL) + len(item.CustomID)
+	if len(u.items) == chunkItems || u.bytes+size > chunkBytes && len(u.items) > 0 {
+		if err = u.flush(ctx); err != nil {
+			return err
+		}
+	}
+	u.items = append(u.items, item)
+	u.bytes += size
+	return nil
+}
+
+// flush stores the chunk that is being filled. It waits while enough others are
+// being stored, which bounds the memory of the upload.
+func (u *upload) flush(ctx context.Context) (err error) {
+	data, err := encodeItems(u.items)
+	if err != nil {
+		return err
+	}
+	u.mu.Lock()
+	chunk := len(u.manifest.Chunks)
+	u.manifest.Chunks = append(u.manifest.Chunks, Chunk{Items: len(u.items)})
+	failed := u.failed
+	u.mu.Unlock()
+	if failed || ctx.Err() != nil {
+		return errNotStored
+	}
+	name := u.manifest.inputName(chunk)
+	u.storing.Go(func(ctx context.Context) error { return u.store(ctx, chunk, name, data) })
+	u.items, u.bytes = nil, 0
+	return nil
+}
+
+func (u *upload) store(ctx context.Context, chunk int, name string, data []byte) (err error) {
+	replicas, err := u.batcher.cfg.Archive.Put(ctx, name, data)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.manifest.Chunks[chunk].Replicas = replicas
+	u.failed = u.failed || err != nil
+	return err
+}
--- a/pkg/refuser/refuser.go
+++ b/pkg/refuser/refuser.go
@@ -42,6 +42,7 @@
 	RequestQuarantined  Code = "request-quarantined"
 	RouteNotBatchable   Code = "route-not-batchable"
 	RouteNotFound       Code = "route-not-found"
+	StorageUnavailable  Code = "storage-unavailable"
 	UpstreamFailed      Code = "upstream-failed"
 )
 
