feat: job commands

Shift leads and scripts submit batch jobs, follow, cancel and fetch them with quetzalhitch job. The key comes from QUETZALHITCH_KEY or a file, never from an argument. A request whose effect is in doubt exits with 4 and says that it can be sent again; a job that was waited for and did not do all its items exits with 5. Results go to a file whole or not at all.

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -15,10 +15,14 @@
 	exitOK      = 0
 	exitFailure = 1
 	exitUsage   = 2
+	exitInDoubt = 4 // It is unknown whether the change was accepted.
+
+	exitIncomplete = 5 // A job that was waited for did not do all its items.
 )
 
 // Args are the command line arguments of the binary.
 type Args struct {
+	Job     *JobCmd     `arg:"subcommand:job" help:"submit, follow and cancel batch jobs"`
 	Version *VersionCmd `arg:"subcommand:version" help:"print the version"`
 }
 
@@ -32,6 +36,15 @@
 	run(stdout, stderr io.Writer) error
 }
 
+// An exitError is an error with an exit code of its own.
+type exitError struct {
+	code int
+	err  error
+}
+
+func (e *exitError) Error() string { return e.err.Error() }
+func (e *exitError) Unwrap() error { return e.err }
+
 // Main parses args, runs the chosen subcommand and returns the exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
 	var parsed Args
@@ -58,7 +71,15 @@
 	}
 	if err := cmd.run(stdout, stderr); err != nil {
 		fmt.Fprintln(stderr, "error:", err)
-		return exitFailure
+		return exitCode(err)
 	}
 	return exitOK
 }
+
+func exitCode(err error) int {
+	var coded *exitError
+	if errors.As(err, &coded) {
+		return coded.code
+	}
+	return exitFailure
+}
--- /dev/null
+++ b/internal/commander/job_test.go
@@ -0,0 +1,139 @@
+package commander
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/batcher"
+	"github.com/quetzalhitch/quetzalhitch/internal/receiver"
+	"github.com/quetzalhitch/quetzalhitch/pkg/refuser"
+)
+
+// A jobSite is an entry that answers by the name of the job.
+type jobSite struct {
+	uploads map[string]string
+}
+
+func (s *jobSite) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get("Authorization") != "Bearer sesame" {
+		sendJSON(w, http.StatusUnauthorized, receiver.RefusalBody{Error: receiver.RefusalFields{Code: refuser.KeyUnknown, Outcome: refuser.NotRun}})
+		return
+	}
+	job, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/v1/batches/"), "/")
+	if r.Method == http.MethodPut {
+		upload, _ := io.ReadAll(r.Body)
+		s.uploads[job] = string(upload) + " due in " + r.URL.Query().Get("due-in")
+	}
+	report := receiver.Report{Job: job, State: batcher.Completed, Items: 3, Done: 3, Due: time.Unix(0, 0).UTC()}
+	switch {
+	case job == "lost":
+		panic(http.ErrAbortHandler)
+	case job == "doubt":
+		sendJSON(w, http.StatusServiceUnavailable, receiver.RefusalBody{Error: receiver.RefusalFields{Code: refuser.InDoubt, Message: "lost", Outcome: refuser.Unknown}})
+	case job == "conflict":
+		sendJSON(w, http.StatusConflict, receiver.RefusalBody{Error: receiver.RefusalFields{Code: refuser.JobConflict, Message: "other items", Outcome: refuser.NotRun}})
+	case job == "cut" && rest == "results":
+		fmt.Fprint(w, "{}\n")
+		w.(http.Flusher).Flush()
+		panic(http.ErrAbortHandler)
+	case rest == "results":
+		fmt.Fprint(w, "{\"custom_id\":\"a\"}\n")
+	case rest == "cancel":
+		report.State, report.Done, report.Cancelled = batcher.Cancelled, 1, 2
+		sendJSON(w, http.StatusOK, report)
+	case job == "failing":
+		report.Done, report.Failed = 2, 1
+		sendJSON(w, http.StatusOK, report)
+	default:
+		sendJSON(w, http.StatusOK, report)
+	}
+}
+
+func sendJSON(w http.ResponseWriter, status int, body any) {
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+// Guards against exit codes and texts that mislead scripts: a doubt that looks
+// like a refusal, results that are not whole, keys among the arguments.
+func TestJob(t *testing.T) {
+	site := &jobSite{uploads: make(map[string]string)}
+	server := httptest.NewServer(site)
+	defer server.Close()
+	folder := t.TempDir()
+	items := filepath.Join(folder, "items.jsonl")
+	assert.NilError(t, os.WriteFile(items, []byte("some items"), 0o600))
+	keyFile := filepath.Join(folder, "key")
+	assert.NilError(t, os.WriteFile(keyFile, []byte("sesame\n"), 0o600))
+	t.Setenv("QUETZALHITCH_ENTRY", server.Listener.Addr().String())
+	t.Setenv("QUETZALHITCH_KEY", "sesame")
+
+	cases := []struct {
+		name, args string
+		code       int
+		out        string
+	}{
+		{"submit", "submit a " + items + " --due-in 8h", exitOK, "job a: completed, 3 done, 0 failed, 0 cancelled of 3 items, due 1970-01-01T00:00:00Z\n"},
+		{"submit and wait", "submit b --wait " + items, exitOK, "job b: completed"},
+		{"submit and wait for failures", "submit failing --wait " + items, exitIncomplete, "1 of 3 items were not done"},
+		{"refused", "submit conflict " + items, exitFailure, "job-conflict (not-run): other items"},
+		{"in doubt", "submit doubt " + items, exitInDoubt, "submit it again, it does not run twice"},
+		{"answer lost", "submit lost " + items, exitInDoubt, "submit it again, it does not run twice"},
+		{"no file", "submit a nothing.jsonl", exitFailure, "no such file"},
+		{"status", "status a", exitOK, "job a: completed"},
+		{"status of a lost entry", "status lost", exitFailure, "EOF"},
+		{"cancel", "cancel a", exitOK, "job a: cancelled, 1 done, 0 failed, 2 cancelled"},
+		{"cancel in doubt", "cancel lost", exitInDoubt, "cancel it again"},
+		{"results", "results a", exitOK, "{\"custom_id\":\"a\"}\n"},
+		{"results cut", "results cut", exitFailure, "the results are not whole"},
+		{"results to a file", "results a -o " + filepath.Join(folder, "out.jsonl"), exitOK, ""},
+		{"results cut to a file", "results cut -o " + filepath.Join(folder, "cut.jsonl"), exitFailure, "the results are not whole"},
+		{"no job", "status", exitUsage, "required"},
+		{"key as an argument", "status a --key sesame", exitUsage, "unknown argument"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			assertRuns(t, "job "+c.args, c.code, c.out)
+		})
+	}
+	assert.Equal(t, site.uploads["a"], "some items due in 8h0m0s")
+	written, err := os.ReadFile(filepath.Join(folder, "out.jsonl"))
+	assert.NilError(t, err)
+	assert.Equal(t, string(written), "{\"custom_id\":\"a\"}\n")
+	left, err := filepath.Glob(filepath.Join(folder, "*cut*"))
+	assert.NilError(t, err)
+	assert.Equal(t, len(left), 0, "%v", left)
+
+	t.Run("key file", func(t *testing.T) {
+		t.Setenv("QUETZALHITCH_KEY", "")
+		assertRuns(t, "job status a", exitFailure, "a key is needed")
+		assertRuns(t, "job status a --key-file "+keyFile, exitOK, "job a: completed")
+	})
+	t.Run("unknown key", func(t *testing.T) {
+		t.Setenv("QUETZALHITCH_KEY", "other")
+		assertRuns(t, "job status a", exitFailure, "key-unknown")
+	})
+}
+
+// assertRuns runs a command and checks its exit code and its output, without
+// progress because there is no terminal.
+func assertRuns(t *testing.T, args string, code int, out string) {
+	t.Helper()
+	var stdout, stderr bytes.Buffer
+	assert.Equal(t, Main(strings.Fields(args), &stdout, &stderr), code, stderr.String())
+	text := stdout.String() + stderr.String()
+	assert.Assert(t, strings.Contains(text, out), text)
+	assert.Assert(t, !strings.Contains(text, clearLine))
+	assert.Assert(t, !strings.Contains(text, "sesame") || code == exitUsage, text)
+}
