fix: one JSON form and one reading of keys for all callers' calls

The batch calls had a refusal type and a key lookup of their own from before the shared ones existed; a request with two different keys was taken there and refused elsewhere.

--- a/internal/commander/job_test.go
+++ b/internal/commander/job_test.go
@@ -27,7 +27,7 @@
 
 func (s *jobSite) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.Header.Get("Authorization") != "Bearer sesame" {
-		sendJSON(w, http.StatusUnauthorized, receiver.RefusalBody{Error: receiver.RefusalFields{Code: refuser.KeyUnknown, Outcome: refuser.NotRun}})
+		sendJSON(w, http.StatusUnauthorized, refuser.New(refuser.KeyUnknown, refuser.NotRun, ""))
 		return
 	}
 	job, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/v1/batches/"), "/")
@@ -40,9 +40,9 @@
 	case job == "lost":
 		panic(http.ErrAbortHandler)
 	case job == "doubt":
-		sendJSON(w, http.StatusServiceUnavailable, receiver.RefusalBody{Error: receiver.RefusalFields{Code: refuser.InDoubt, Message: "lost", Outcome: refuser.Unknown}})
+		sendJSON(w, http.StatusServiceUnavailable, refuser.New(refuser.InDoubt, refuser.Unknown, "lost"))
 	case job == "conflict":
-		sendJSON(w, http.StatusConflict, receiver.RefusalBody{Error: receiver.RefusalFields{Code: refuser.JobConflict, Message: "other items", Outcome: refuser.NotRun}})
+		sendJSON(w, http.StatusConflict, refuser.New(refuser.JobConflict, refuser.NotRun, "other items"))
 	case job == "cut" && rest == "results":
 		fmt.Fprint(w, "{}\n")
 		w.(http.Flusher).Flush()
--- a/internal/commander/jobclient.go
+++ b/internal/commander/jobclient.go
@@ -122,12 +122,10 @@
 
 // refusalError returns the refusal in an answer.
 func refusalError(response *http.Response, advice string) error {
-	var body receiver.RefusalBody
-	err := json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(&body)
-	if err != nil || body.Error.Code == "" {
+	refusal := &refuser.Refusal{}
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(refusal); err != nil {
 		return inDoubt(merry.Errorf("the entry answered with %s", response.Status), advice)
 	}
-	refusal := &refuser.Refusal{Code: body.Error.Code, Message: body.Error.Message, Outcome: body.Error.Outcome}
 	if refusal.Outcome == refuser.Unknown {
 		return inDoubt(refusal, advice)
 	}
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -11,6 +11,7 @@
 	"github.com/gofiber/fiber/v3"
 	"github.com/sirupsen/logrus"
 
+	"github.com/quetzalhitch/quetzalhitch/internal/acceptor"
 	"github.com/quetzalhitch/quetzalhitch/internal/batcher"
 	"github.com/quetzalhitch/quetzalhitch/pkg/refuser"
 )
@@ -99,19 +100,15 @@
 
 // identify finds the workspace of a request.
 func (r *Receiver) identify(c fiber.Ctx) (who caller, refusal *refuser.Refusal) {
-	who = caller{key: strings.Clone(presentedKey(c)), job: strings.Clone(c.Params("job"))}
+	who.key, refusal = acceptor.PresentedKey(c)
+	if refusal != nil {
+		return caller{}, refusal
+	}
+	who.job = strings.Clone(c.Params("job"))
 	who.workspace, refusal = r.cfg.Keys.Workspace(who.key)
 	return who, refusal
 }
 
-func presentedKey(c fiber.Ctx) string {
-	scheme, key, ok := strings.Cut(c.Get(fiber.HeaderAuthorization), " ")
-	if ok && strings.EqualFold(scheme, "Bearer") {
-		return strings.TrimSpace(key)
-	}
-	return c.Get("X-Api-Key")
-}
-
 func (r *Receiver) status(c fiber.Ctx) error {
 	return r.answer(c, r.cfg.Jobs.Status)
 }
@@ -126,13 +123,13 @@
 ) error {
 	who, refusal := r.identify(c)
 	if refusal != nil {
-		return sendRefusal(c, refusal)
+		return acceptor.Refuse(c, refusal)
 	}
 	ctx, cancel := context.WithTimeout(r.ctx, callTime)
 	defer cancel()
 	m, err := call(ctx, who.workspace, who.job)
 	if err != nil {
-		return sendRefusal(c, r.refusalOf(err))
+		return acceptor.Refuse(c, r.refusalOf(err))
 	}
 	return c.JSON(reportOf(m))
 }
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -138,10 +138,10 @@
 func assertRefused(t *testing.T, response reply, status int, code refuser.Code, outcome refuser.Outcome) {
 	t.Helper()
 	assert.Equal(t, response.StatusCode, status)
-	var body RefusalBody
+	var body refuser.Refusal
 	assert.NilError(t, json.NewDecoder(response.Body).Decode(&body))
-	assert.Equal(t, body.Error.Code, code)
-	assert.Equal(t, body.Error.Outcome, outcome)
+	assert.Equal(t, body.Code, code)
+	assert.Equal(t, body.Outcome, outcome)
 }
 
 func upload(n int) string {
--- a/internal/receiver/report.go
+++ b/internal/receiver/report.go
@@ -3,11 +3,8 @@
 import (
 	"errors"
 	"net/http"
-	"strconv"
 	"time"
 
-	"github.com/gofiber/fiber/v3"
-
 	"github.com/quetzalhitch/quetzalhitch/internal/batcher"
 	"github.com/quetzalhitch/quetzalhitch/pkg/refuser"
 )
@@ -34,29 +31,6 @@
 	}
 }
 
-// A RefusalBody is the JSON of a refusal.
-type RefusalBody struct {
-	Error RefusalFields `json:"error"`
-}
-
-// RefusalFields are the fields of a refusal.
-type RefusalFields struct {
-	Code              refuser.Code    `json:"code"`
-	Message           string          `json:"message"`
-	Outcome           refuser.Outcome `json:"outcome"`
-	RetryAfterSeconds int             `json:"retry-after-seconds,omitempty"`
-}
-
-func sendRefusal(c fiber.Ctx, refusal *refuser.Refusal) error {
-	seconds := int((refusal.RetryAfter + time.Second - 1) / time.Second)
-	if seconds > 0 {
-		c.Set(fiber.HeaderRetryAfter, strconv.Itoa(seconds))
-	}
-	return c.Status(refusal.Status).JSON(RefusalBody{Error: RefusalFields{
-		Code: refusal.Code, Message: refusal.Message, Outcome: refusal.Outcome, RetryAfterSeconds: seconds,
-	}})
-}
-
 // refusalOf returns the refusal in an error. Of any other error nothing is
 // known, so the caller is told that it is in doubt.
 func (r *Receiver) refusalOf(err error) *refuser.Refusal {
--- a/internal/receiver/results.go
+++ b/internal/receiver/results.go
@@ -7,6 +7,8 @@
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/sourcegraph/conc/panics"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/acceptor"
 )
 
 // recheckPeriod is the time after which a key that streams results is looked up
@@ -19,12 +21,12 @@
 func (r *Receiver) results(c fiber.Ctx) error {
 	who, refusal := r.identify(c)
 	if refusal != nil {
-		return sendRefusal(c, refusal)
+		return acceptor.Refuse(c, refusal)
 	}
 	ctx, cancel := context.WithTimeout(r.ctx, callTime)
 	defer cancel()
 	if _, err := r.cfg.Jobs.Status(ctx, who.workspace, who.job); err != nil {
-		return sendRefusal(c, r.refusalOf(err))
+		return acceptor.Refuse(c, r.refusalOf(err))
 	}
 	reader, writer := io.Pipe()
 	go r.stream(who, writer)
--- a/internal/receiver/upload.go
+++ b/internal/receiver/upload.go
@@ -12,6 +12,7 @@
 
 	"github.com/gofiber/fiber/v3"
 
+	"github.com/quetzalhitch/quetzalhitch/internal/acceptor"
 	"github.com/quetzalhitch/quetzalhitch/internal/batcher"
 	"github.com/quetzalhitch/quetzalhitch/pkg/refuser"
 )
@@ -27,11 +28,11 @@
 func (r *Receiver) submit(c fiber.Ctx) error {
 	who, refusal := r.identify(c)
 	if refusal != nil {
-		return sendRefusal(c, refusal)
+		return acceptor.Refuse(c, refusal)
 	}
 	upload, refusal := uploadOf(c)
 	if refusal != nil {
-		return sendRefusal(c, refusal)
+		return acceptor.Refuse(c, refusal)
 	}
 	dueIn, err := time.ParseDuration(c.Query("due-in", defaultDueIn.String()))
 	if err != nil {
@@ -63,7 +64,7 @@
 // refuseUpload reads some more of an upload before the refusal is sent.
 func (r *Receiver) refuseUpload(c fiber.Ctx, upload io.Reader, refusal *refuser.Refusal) error {
 	_, _ = io.CopyN(io.Discard, upload, maxDrainBytes)
-	return sendRefusal(c, refusal)
+	return acceptor.Refuse(c, refusal)
 }
 
 // uploadOf returns the body of a request.
