fix: batch uploads are streamed and not held in memory

Cause: the HTTP server read a whole upload, up to 256 MiB, before the handler and its bound on concurrent uploads saw it, and gave it the 60 s of an online request. Change: bodies are streamed; a middleware reads those of all other requests within their limit.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -25,8 +25,12 @@
 
 const (
 	defaultBodyLimit = 4 << 20
-	// defaultBatchBodyLimit holds a job of 110,000 items of 2 KB each.
-	defaultBatchBodyLimit = 256 << 20
+	// defaultBatchBodyLimit holds a job of 110,000 items of 9 KB each. Batch
+	// bodies are streamed, so that they are not held in memory.
+	defaultBatchBodyLimit = 1 << 30
+	// uploadTimeout bounds the body of a batch job; the limit of other requests
+	// would cut large jobs on slow networks.
+	uploadTimeout         = 30 * time.Minute
 	defaultHeaderLimit    = 16 << 10
 	defaultIdleTimeout    = 60 * time.Second
 	defaultReadTimeout    = 60 * time.Second // For a whole request.
@@ -132,6 +136,7 @@
 		IdleTimeout:                  cfg.IdleTimeout,
 		ReadBufferSize:               cfg.HeaderLimit,
 		ReadTimeout:                  cfg.ReadTimeout,
+		StreamRequestBody:            true,
 		StrictRouting:                true,
 	})
 	a.mount()
@@ -140,6 +145,7 @@
 }
 
 func (a *Acceptor) mount() {
+	a.app.Use(a.readBody)
 	a.app.Get("/healthz", a.healthz)
 	a.app.Get("/readyz", a.readyz)
 	if a.cfg.Metrics != nil {
@@ -177,10 +183,10 @@
 	}
 }
 
-// limitsOf gives batch jobs a larger body than other requests.
+// limitsOf gives batch jobs a larger body and more time than other requests.
 func (a *Acceptor) limitsOf(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
 	if h.IsPut() && len(h.RequestURI()) > len(batchPath) && string(h.RequestURI()[:len(batchPath)]) == batchPath {
-		return fasthttp.RequestConfig{MaxRequestBodySize: a.cfg.BatchBodyLimit}
+		return fasthttp.RequestConfig{MaxRequestBodySize: a.cfg.BatchBodyLimit, ReadTimeout: uploadTimeout}
 	}
 	return fasthttp.RequestConfig{}
 }
