--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -30,10 +30,10 @@
 	defaultBatchBodyLimit = 1 << 30
 	// uploadTimeout bounds the body of a batch job; the limit of other requests
 	// would cut large jobs on slow networks.
-	uploadTimeout         = 30 * time.Minute
-	defaultHeaderLimit    = 16 << 10
-	defaultIdleTimeout    = 60 * time.Second
-	defaultReadTimeout    = 60 * time.Second // For a whole request.
+	uploadTimeout      = 30 * time.Minute
+	defaultHeaderLimit = 16 << 10
+	defaultIdleTimeout = 60 * time.Second
+	defaultReadTimeout = 60 * time.Second // For a whole request.
 	// defaultWriteSilence is the time in which a caller has to take up the next
 	// part of its answer.
 	defaultWriteSilence = 30 * time.Second
