feat: load tool reads the batch reports of the entries

The format of reports and results was guessed before the receiver existed: progress was always zero, because the guessed field is not in the reports. The tool now decodes receiver.Report and batcher.ResultLine. The fake entry of the tests writes the JSON by hand, so that a change of either type is noticed.

--- a/internal/measurer/backlog.go
+++ b/internal/measurer/backlog.go
@@ -14,6 +14,9 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/sourcegraph/conc/pool"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/batcher"
+	"github.com/quetzalhitch/quetzalhitch/internal/receiver"
 )
 
 const (
@@ -35,7 +38,7 @@
 	Items     int
 
 	mu     sync.Mutex
-	status jobStatus // The last one that was read.
+	report receiver.Report // The last one that was read.
 }
 
 // A backlog is the batch work of a run.
@@ -122,7 +125,7 @@
 	_ = p.Wait() // The last status counts instead.
 	for _, j := range b.jobs {
 		j.mu.Lock()
-		n += j.status.Completed
+		n += j.report.Done + j.report.Failed
 		j.mu.Unlock()
 	}
 	return n
@@ -133,13 +136,13 @@
 	if err != nil {
 		return err
 	}
-	var status jobStatus
-	if err := json.Unmarshal(answer, &status); err != nil {
+	var report receiver.Report
+	if err := json.Unmarshal(answer, &report); err != nil {
 		return merry.Prependf(err, "read the status of job %s of %s", j.Name, j.Workspace)
 	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.status = status
+	j.report = report
 	return nil
 }
 
@@ -181,7 +184,7 @@
 	lines := bufio.NewScanner(r)
 	lines.Buffer(nil, maxResultBytes)
 	for lines.Scan() {
-		var line resultLine
+		var line batcher.ResultLine
 		if err := json.Unmarshal(lines.Bytes(), &line); err != nil {
 			return err
 		}
@@ -190,10 +193,10 @@
 			s.Duplicates++
 		}
 		seen[line.CustomID] = true
-		if len(line.Error) > 0 && string(line.Error) != "null" {
+		if line.Failure != nil {
 			s.Failed++
 		}
-		s.Tokens += line.Response.Body.Usage.CompletionTokens
+		s.Tokens += int(line.Tokens)
 	}
 	return lines.Err()
 }
--- a/internal/measurer/fakeentry_test.go
+++ b/internal/measurer/fakeentry_test.go
@@ -129,7 +129,7 @@
 	defer e.mu.Unlock()
 	j := e.job(r)
 	j.completed = min(len(j.ids), j.completed+e.perLook)
-	_ = json.NewEncoder(w).Encode(jobStatus{State: "running", Completed: j.completed})
+	fmt.Fprintf(w, `{"state":"running","done":%d,"failed":0}`, j.completed)
 }
 
 func (e *fakeEntry) cancel(_ http.ResponseWriter, r *http.Request) {
@@ -144,6 +144,6 @@
 	defer e.mu.Unlock()
 	j := e.job(r)
 	for _, id := range append(j.ids[:1:1], j.ids[:j.completed]...) {
-		fmt.Fprintf(w, "{\"custom_id\":%q,\"response\":{\"body\":{\"usage\":{\"completion_tokens\":5}}}}\n", id)
+		fmt.Fprintf(w, "{\"custom_id\":%q,\"status-code\":200,\"body\":{},\"tokens\":5}\n", id)
 	}
 }
--- a/internal/measurer/wire.go
+++ b/internal/measurer/wire.go
@@ -1,7 +1,6 @@
 package measurer
 
 import (
-	"encoding/json"
 	"fmt"
 	"strings"
 )
@@ -77,22 +76,6 @@
 	Body     chatBody `json:"body"`
 }
 
-// A resultLine is one result of a job.
-type resultLine struct {
-	CustomID string          `json:"custom_id"`
-	Error    json.RawMessage `json:"error"`
-	Response struct {
-		Body chatChunk `json:"body"`
-	} `json:"response"`
-}
-
-// A jobStatus is the part of a job's manifest that the load tool reads.
-type jobStatus struct {
-	State     string `json:"state"`
-	Completed int    `json:"completed"` // Items with a result.
-	Failed    int    `json:"failed"`    // Items that cannot be done.
-}
-
 // newPrompt returns a prompt whose first words all prompts of a workspace
 // share, as instructions and order forms do.
 func newPrompt(workspace, marker string, prefixWords int) string {
