feat: baselines of routing, yielding, rates and batch order

The measures need simpler behaviours to be compared with. The settings key experimental.baseline chooses one of equal-shares, first-come, no-yield and round-robin; the runner then replaces one object behind a small interface, so that the decisions themselves have no branches for it. The scheduler's order is such an interface now; its fair order is unchanged.

--- a/cmd/measure/list.go
+++ b/cmd/measure/list.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 
+	"github.com/quetzalhitch/quetzalhitch/internal/configurer"
 	"github.com/quetzalhitch/quetzalhitch/internal/measurer"
 )
 
@@ -19,7 +20,7 @@
 	for _, name := range names {
 		fmt.Fprintln(stdout, "scenario", name)
 	}
-	for _, baseline := range measurer.Baselines() {
+	for _, baseline := range configurer.Baselines() {
 		fmt.Fprintln(stdout, "baseline", baseline)
 	}
 	return nil
--- a/cmd/measure/run.go
+++ b/cmd/measure/run.go
@@ -7,11 +7,13 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/quetzalhitch/quetzalhitch/internal/configurer"
 	"github.com/quetzalhitch/quetzalhitch/internal/measurer"
 	"github.com/quetzalhitch/quetzalhitch/internal/tester"
 	"github.com/quetzalhitch/quetzalhitch/pkg/declarer"
@@ -33,14 +35,14 @@
 
 // A runCmd runs a scenario, by default once with batch work and once without.
 type runCmd struct {
-	Scenario string            `arg:"positional,required" help:"such as ljepilo-hub/steady; see list"`
-	Baseline measurer.Baseline `arg:"--baseline"          help:"start the entries with a baseline; see list"`
-	Batch    string            `arg:"--batch"             help:"both, with or without batch work" default:"both"`
-	Binaries string            `arg:"--binaries"          help:"folder with quetzalhitch and emulator of another version; built when empty"`
-	Duration time.Duration     `arg:"--duration"          help:"measure for this time instead of the scenario's"`
-	Folder   string            `arg:"--folder"            help:"keep results and outputs here; nothing is kept when empty"`
-	Seed     *uint64           `arg:"--seed"              help:"use this seed instead of the scenario's"`
-	WarmUp   *time.Duration    `arg:"--warm-up"           help:"warm up for this time instead of the scenario's"`
+	Scenario string              `arg:"positional,required" help:"such as ljepilo-hub/steady, see list; or a TOML file"`
+	Baseline configurer.Baseline `arg:"--baseline"          help:"start the entries with a baseline; see list"`
+	Batch    string              `arg:"--batch"             help:"both, with or without batch work" default:"both"`
+	Binaries string              `arg:"--binaries"          help:"folder with quetzalhitch and emulator of another version; built when empty"`
+	Duration time.Duration       `arg:"--duration"          help:"measure for this time instead of the scenario's"`
+	Folder   string              `arg:"--folder"            help:"keep results and outputs here; nothing is kept when empty"`
+	Seed     *uint64             `arg:"--seed"              help:"use this seed instead of the scenario's"`
+	WarmUp   *time.Duration      `arg:"--warm-up"           help:"warm up for this time instead of the scenario's"`
 }
 
 func (c *runCmd) run(ctx context.Context, stdout io.Writer) (err error) {
@@ -92,10 +94,14 @@
 	if !slices.Contains([]string{modeBoth, modeWith, modeWithout}, c.Batch) {
 		return d, merry.Errorf("--batch is %q instead of %s, %s or %s", c.Batch, modeBoth, modeWith, modeWithout)
 	}
-	if c.Baseline != "" && !slices.Contains(measurer.Baselines(), c.Baseline) {
-		return d, merry.Errorf("no baseline %q; known are %v", c.Baseline, measurer.Baselines())
+	if c.Baseline != "" && !slices.Contains(configurer.Baselines(), c.Baseline) {
+		return d, merry.Errorf("no baseline %q; known are %v", c.Baseline, configurer.Baselines())
 	}
-	if d, err = measurer.Load(c.Scenario); err != nil {
+	load := measurer.Load
+	if strings.HasSuffix(c.Scenario, ".toml") {
+		load = measurer.LoadFile
+	}
+	if d, err = load(c.Scenario); err != nil {
 		return d, err
 	}
 	if c.Duration > 0 {
--- a/internal/batcher/batcher.go
+++ b/internal/batcher/batcher.go
@@ -121,6 +121,7 @@
 	Routes   RouteChecker
 	Clock    Clock
 	Logger   logrus.FieldLogger
+	Order    scheduler.Order // Of the jobs; nil for the scheduler's own.
 
 	LeaseTTL      time.Duration
 	PollPeriod    time.Duration
@@ -185,7 +186,7 @@
 	b := &Batcher{
 		cfg:       cfg,
 		ledger:    &ledger{store: cfg.Store, clock: cfg.Clock, doubtTime: cfg.DoubtTime},
-		scheduler: scheduler.New(scheduler.Config{Clock: cfg.Clock}),
+		scheduler: scheduler.New(scheduler.Config{Clock: cfg.Clock, Order: cfg.Order}),
 		board:     newBoard(),
 		relists:   &pacer{clock: cfg.Clock},
 		outage:    &pacer{clock: cfg.Clock},
--- a/internal/batcher/finder.go
+++ b/internal/batcher/finder.go
@@ -48,7 +48,9 @@
 		b.forget(j)
 		_, added = b.board.add(open, b.cfg.Clock.Now())
 	}
-	b.scheduler.Add(scheduler.Job{Key: open.key(), Lane: open.Lane, Due: open.Due, Remaining: open.Items})
+	b.scheduler.Add(scheduler.Job{
+		Key: open.key(), Lane: open.Lane, AcceptedAt: open.AcceptedAt, Due: open.Due, Remaining: open.Items,
+	})
 	if added {
 		b.lanes.get(open.Lane)
 	}
--- a/internal/measurer/baseline.go
+++ b/internal/configurer/baseline.go
@@ -1,7 +1,7 @@
-package measurer
+package configurer
 
-// A Baseline is a simpler behaviour that entries can be started with, to be
-// measured against. An entry reads it from its settings.
+// A Baseline is a simpler behaviour that an entry can be started with, to be
+// measured against.
 type Baseline string
 
 // The baselines.
@@ -16,3 +16,9 @@
 func Baselines() []Baseline {
 	return []Baseline{EqualShares, FirstCome, NoYield, RoundRobin}
 }
+
+// Experimental settings choose behaviour that exists only to be measured
+// against.
+type Experimental struct {
+	Baseline Baseline `toml:"baseline"` // Optional; empty is the system as it is.
+}
--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -29,6 +29,7 @@
 	TLS                TLS               `toml:"tls"`
 	Log                Log               `toml:"log"`
 	Deadlines          Deadlines         `toml:"deadlines"`
+	Experimental       Experimental      `toml:"experimental"`
 }
 
 // A Seed is an entry that is known from the start. The list may name the
--- a/internal/configurer/validator.go
+++ b/internal/configurer/validator.go
@@ -47,6 +47,7 @@
 	v.choice("log.level", s.Log.Level, logLevels)
 	v.choice("log.format", s.Log.Format, logFormats)
 	v.deadlines(s.Deadlines)
+	v.baseline(s.Experimental.Baseline)
 	return declarer.SortFaults(v.faults)
 }
 
@@ -95,6 +96,12 @@
 	}
 }
 
+func (v *validator) baseline(b Baseline) {
+	if b != "" && !slices.Contains(Baselines(), b) {
+		v.add("experimental.baseline", "must be one of %q", Baselines())
+	}
+}
+
 func (v *validator) duration(key string, value declarer.Duration, low, high time.Duration) {
 	if value.Std() < low || value.Std() > high {
 		v.add(key, "must be from %s to %s", low, high)
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -42,6 +42,22 @@
 	Confirm(ctx context.Context, s *registrar.Server, since time.Time) sender.Condition
 }
 
+// A chooser picks the backend server of a request. The errors are those of
+// router.Router.
+type chooser interface {
+	Choose(pool *registrar.Pool, q router.Query) (router.Decision, error)
+}
+
+// A RoomMaker ends running batch items for online work.
+type RoomMaker interface {
+	// MakeRoom ends items so that, with those that end already, n end. It
+	// returns how many it ended and how many are missing.
+	MakeRoom(server string, n int) (ended, missing int)
+	// MakeMoreRoom ends what MakeRoom would, and at least one item more than
+	// end already.
+	MakeMoreRoom(server string, n int) (ended int)
+}
+
 type admitter interface {
 	Admit(ctx context.Context, workspace string) Admission
 }
@@ -67,7 +83,7 @@
 // A Config holds what a dispatcher needs.
 type Config struct {
 	Fleet    *registrar.Fleet
-	Router   *router.Router
+	Router   chooser
 	Retrier  *retrier.Retrier
 	Sender   transport
 	Prober   prober
@@ -77,6 +93,8 @@
 	Clock    clock
 	Logger   logrus.FieldLogger
 	Meter    metric.Meter
+	// RoomMaker is nil for the one that ends the newest items of this entry.
+	RoomMaker RoomMaker
 	// OnYield is called when online work needs more of an engine than the batch
 	// items of this entry give free. It must return at once.
 	OnYield func(server string)
@@ -100,6 +118,9 @@
 	}()
 	d = &Dispatcher{cfg: cfg}
 	d.displacer.init()
+	if d.cfg.RoomMaker == nil {
+		d.cfg.RoomMaker = &d.displacer
+	}
 	d.lanes.init()
 	d.instruments, err = newInstruments(cfg.Meter)
 	return d, err
@@ -119,7 +140,7 @@
 	if !ok {
 		return
 	}
-	yielded := d.displacer.displaceMore(server, s.Load().Excess())
+	yielded := d.cfg.RoomMaker.MakeMoreRoom(server, s.Load().Excess())
 	d.instruments.countYields(yielded)
 }
 
@@ -130,7 +151,7 @@
 	if excess == 0 {
 		return
 	}
-	yielded, missing := d.displacer.displace(s.Name(), excess)
+	yielded, missing := d.cfg.RoomMaker.MakeRoom(s.Name(), excess)
 	d.instruments.countYields(yielded)
 	if missing > 0 && d.cfg.OnYield != nil {
 		d.cfg.OnYield(s.Name())
--- a/internal/dispatcher/displacer.go
+++ b/internal/dispatcher/displacer.go
@@ -78,9 +78,8 @@
 	}
 }
 
-// displace cancels the newest items so that, with those that end already, n
-// end. It returns how many it cancelled and how many are missing.
-func (d *displacer) displace(server string, n int) (cancelled, missing int) {
+// MakeRoom implements RoomMaker with the newest items.
+func (d *displacer) MakeRoom(server string, n int) (ended, missing int) {
 	s := d.shard(server)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -88,13 +87,12 @@
 	if !ok {
 		return 0, n
 	}
-	cancelled = set.cancelNewest(n - set.ending)
-	return cancelled, max(n-set.ending, 0)
+	ended = set.cancelNewest(n - set.ending)
+	return ended, max(n-set.ending, 0)
 }
 
-// displaceMore cancels what displace would, and at least one item more than
-// end already.
-func (d *displacer) displaceMore(server string, n int) (cancelled int) {
+// MakeMoreRoom implements RoomMaker with the newest items.
+func (d *displacer) MakeMoreRoom(server string, n int) (ended int) {
 	s := d.shard(server)
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/measurer/loader.go
+++ b/internal/measurer/loader.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io/fs"
 	"math"
+	"os"
 	"path"
 	"slices"
 	"strings"
@@ -61,12 +62,47 @@
 	return d, d.Validate()
 }
 
+// A descriptionFile is a description outside of this program: a scenario of its
+// own on a deployment that the program knows.
+type descriptionFile struct {
+	Deployment string   `toml:"deployment"` // Such as "ljepilo-hub".
+	Scenario   Scenario `toml:"scenario"`
+}
+
+// LoadFile returns the description in a TOML file.
+func LoadFile(file string) (d Description, err error) {
+	defer func() {
+		if err != nil {
+			err = merry.Prependf(err, "load description %q", file)
+		}
+	}()
+
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return Description{}, err
+	}
+	var described descriptionFile
+	if err = parse(file, content, &described); err != nil {
+		return Description{}, err
+	}
+	d.Scenario = described.Scenario
+	d.Scenario.Name = file
+	if err = decode(path.Join(deploymentFolder, described.Deployment+descriptionSuffix), &d.Deployment); err != nil {
+		return Description{}, err
+	}
+	return d, d.Validate()
+}
+
 // decode reads a description and refuses keys that nothing reads.
 func decode(file string, into any) error {
 	content, err := descriptions.ReadFile(file)
 	if err != nil {
 		return err
 	}
+	return parse(file, content, into)
+}
+
+func parse(file string, content []byte, into any) error {
 	meta, err := toml.Decode(string(content), into)
 	if err != nil {
 		return merry.Prepend(err, file)
--- a/internal/measurer/result.go
+++ b/internal/measurer/result.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/quetzalhitch/quetzalhitch/internal/configurer"
 	"github.com/quetzalhitch/quetzalhitch/pkg/declarer"
 )
 
@@ -53,6 +54,9 @@
 	Items           int     `json:"items"`
 	ItemsPerSecond  float64 `json:"items-per-second"`
 	TokensPerSecond float64 `json:"tokens-per-second"`
+	Ran             int     `json:"ran"` // Tries that the entries count as answered; not in steps of a chunk as items are.
+	RanPerSecond    float64 `json:"ran-per-second"`
+	Yielded         int     `json:"yielded"`    // Tries that made way for online requests.
 	Failed          int     `json:"failed"`     // Items of the whole run that could not be done.
 	Duplicates      int     `json:"duplicates"` // Results of the whole run beyond the first of an item.
 	Dry             bool    `json:"dry"`        // The backlog ended early: the rates are too low.
@@ -104,18 +108,18 @@
 
 // A Result is what one run measured.
 type Result struct {
-	Scenario   string            `json:"scenario"`
-	Baseline   Baseline          `json:"baseline,omitempty"`
-	WithBatch  bool              `json:"with-batch"`
-	Seed       uint64            `json:"seed"`
-	Duration   declarer.Duration `json:"duration"`
-	Faults     []Fault           `json:"faults,omitempty"`
-	Online     OnlineResult      `json:"online"`
-	Batch      *BatchResult      `json:"batch,omitempty"`
-	Fairness   Fairness          `json:"fairness"`
-	Refusals   RefusalResult     `json:"refusals"`
-	Workspaces []WorkspaceResult `json:"workspaces"`
-	Tool       ToolResult        `json:"tool"`
+	Scenario   string              `json:"scenario"`
+	Baseline   configurer.Baseline `json:"baseline,omitempty"`
+	WithBatch  bool                `json:"with-batch"`
+	Seed       uint64              `json:"seed"`
+	Duration   declarer.Duration   `json:"duration"`
+	Faults     []Fault             `json:"faults,omitempty"`
+	Online     OnlineResult        `json:"online"`
+	Batch      *BatchResult        `json:"batch,omitempty"`
+	Fairness   Fairness            `json:"fairness"`
+	Refusals   RefusalResult       `json:"refusals"`
+	Workspaces []WorkspaceResult   `json:"workspaces"`
+	Tool       ToolResult          `json:"tool"`
 }
 
 // result computes the measures once all requests have ended.
@@ -181,6 +185,9 @@
 		Items:           p.items,
 		ItemsPerSecond:  itemRate,
 		TokensPerSecond: itemRate * float64(p.results.Tokens) / float64(max(1, done)),
+		Ran:             p.counts.ran,
+		RanPerSecond:    float64(p.counts.ran) / p.period.Seconds(),
+		Yielded:         p.counts.yielded,
 		Failed:          p.results.Failed,
 		Duplicates:      p.results.Duplicates,
 		Dry:             p.dry,
--- a/internal/measurer/runner.go
+++ b/internal/measurer/runner.go
@@ -8,6 +8,8 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/pool"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/configurer"
 )
 
 const (
@@ -33,8 +35,8 @@
 // Config says what to run against which fleet.
 type Config struct {
 	Description  Description
-	Baseline     Baseline // The entries were started with it; empty means the system as it is.
-	Batch        bool     // Submit the backlog of batch work.
+	Baseline     configurer.Baseline // The entries were started with it; empty means the system as it is.
+	Batch        bool                // Submit the backlog of batch work.
 	Entries      EntryLister
 	Keys         map[string]string // By workspace.
 	Faulter      Faulter           // Nil when the scenario has no faults.
@@ -195,7 +197,8 @@
 
 // batchProgress is what batch work did during the measurement.
 type batchProgress struct {
-	items   int           // Completed during the measurement.
+	items   int           // Whose chunk was completed during the measurement.
+	counts  batchCounts   // Of the entries, during the measurement.
 	period  time.Duration // Between the two counts.
 	dry     bool          // The backlog did not outlast the measurement.
 	results batchResults  // Of the whole run.
@@ -208,12 +211,14 @@
 		return p, err
 	}
 	before := work.completed(ctx)
+	counted := r.client.countBatch(ctx)
 	begin := r.cfg.Clock.Now()
 	if err = r.waitUntil(ctx, start.Add(scenario.end())); err != nil {
 		return p, err
 	}
 	after := work.completed(ctx)
 	p.items = after - before
+	p.counts = r.client.countBatch(ctx).since(counted)
 	p.period = r.cfg.Clock.Now().Sub(begin)
 	p.dry = after >= work.items()
 	return p, nil
--- a/internal/measurer/table.go
+++ b/internal/measurer/table.go
@@ -43,6 +43,7 @@
 	if b := r.Batch; b != nil {
 		fmt.Fprintf(w, "batch: %.1f items/s, %.0f tokens/s (%d items, %d failed, %d duplicates)\n",
 			b.ItemsPerSecond, b.TokensPerSecond, b.Items, b.Failed, b.Duplicates)
+		fmt.Fprintf(w, "batch as the entries count: %.1f items/s (%d items), %d yielded\n", b.RanPerSecond, b.Ran, b.Yielded)
 		if b.Dry {
 			fmt.Fprintln(w, "batch: the backlog ended before the measurement; the rates are too low")
 		}
--- a/internal/runner/adapters.go
+++ b/internal/runner/adapters.go
@@ -17,14 +17,15 @@
 	"github.com/quetzalhitch/quetzalhitch/pkg/refuser"
 )
 
-// An admission lets the dispatcher ask the borrower of rate tokens.
+// An admission lets the dispatcher ask for rate tokens and batch permits.
 type admission struct {
-	borrower *limiter.Borrower
+	admitter admitter
+	borrower *limiter.Borrower // Of permits.
 }
 
 // Admit decides whether a request of a workspace may run.
 func (a *admission) Admit(ctx context.Context, workspace string) dispatcher.Admission {
-	d := a.borrower.Admit(ctx, workspace)
+	d := a.admitter.Admit(ctx, workspace)
 	return dispatcher.Admission{
 		Admitted:   d.Admitted,
 		Reason:     string(d.Reason),
--- a/internal/runner/assemble.go
+++ b/internal/runner/assemble.go
@@ -23,7 +23,6 @@
 	"github.com/quetzalhitch/quetzalhitch/internal/registrar"
 	"github.com/quetzalhitch/quetzalhitch/internal/reporter"
 	"github.com/quetzalhitch/quetzalhitch/internal/retrier"
-	"github.com/quetzalhitch/quetzalhitch/internal/router"
 	"github.com/quetzalhitch/quetzalhitch/internal/sender"
 	"github.com/quetzalhitch/quetzalhitch/internal/storer"
 )
@@ -39,6 +38,7 @@
 	publisher     *publisher.Publisher
 	configuration *configuration
 	leaser        *leaser.Leaser
+	variant       variant
 	heartbeater   *heartbeater.Heartbeater
 	authenticator *authenticator.Authenticator
 	sender        *sender.Sender
@@ -174,6 +174,7 @@
 		Revisions: p.configuration,
 		Lendings:  p.leaser,
 	})
+	p.variant = e.variant()
 	p.leaser.SetAnnouncer(p.heartbeater)
 	p.leaser.Register(p.links)
 	p.links.Handle(linker.KindHeartbeat, p.heartbeater)
@@ -227,13 +228,10 @@
 	p.retrier = retrier.New(retrier.Config{Clock: e.options.Clock, Announcer: p.spreader})
 	p.recorder = recorder.New(e.settings.InstanceID, e.options.Clock.Now().UnixNano(), p.store, e.options.Clock)
 
-	gate := &admission{borrower: p.leaser.Borrower()}
+	gate := &admission{admitter: p.variant.admitter, borrower: p.leaser.Borrower()}
 	p.dispatcher, err = dispatcher.New(dispatcher.Config{
-		Fleet: p.fleet,
-		Router: router.New(router.Config{
-			FailureDomain: e.settings.FailureDomain,
-			Region:        e.settings.Region,
-		}),
+		Fleet:    p.fleet,
+		Router:   p.variant.chooser,
 		Retrier:  p.retrier,
 		Sender:   p.sender,
 		Prober:   p.prober,
@@ -244,6 +242,8 @@
 		Logger:   e.options.Logger,
 		Meter:    e.meter("dispatcher"),
 		OnYield:  p.spreader.askToYield,
+
+		RoomMaker: p.variant.roomMaker,
 	})
 	if err != nil {
 		return err
@@ -275,6 +275,7 @@
 		Archive:  p.archiver,
 		Runner:   line,
 		Routes:   line,
+		Order:    p.variant.order,
 		Clock:    e.options.Clock,
 		Logger:   e.options.Logger,
 	})
--- /dev/null
+++ b/internal/runner/variant.go
@@ -0,0 +1,64 @@
+package runner
+
+import (
+	"context"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/configurer"
+	"github.com/quetzalhitch/quetzalhitch/internal/dispatcher"
+	"github.com/quetzalhitch/quetzalhitch/internal/limiter"
+	"github.com/quetzalhitch/quetzalhitch/internal/publisher"
+	"github.com/quetzalhitch/quetzalhitch/internal/registrar"
+	"github.com/quetzalhitch/quetzalhitch/internal/router"
+	"github.com/quetzalhitch/quetzalhitch/internal/scheduler"
+)
+
+// A chooser picks the backend server of a request.
+type chooser interface {
+	Choose(pool *registrar.Pool, q router.Query) (router.Decision, error)
+}
+
+// An admitter decides whether a request is inside its workspace's rate.
+type admitter interface {
+	Admit(ctx context.Context, workspace string) limiter.Decision
+}
+
+// A variant is the behaviour that a baseline replaces. All decisions but one
+// are those of the system.
+type variant struct {
+	chooser   chooser
+	admitter  admitter
+	roomMaker dispatcher.RoomMaker // Nil for the dispatcher's own.
+	order     scheduler.Order      // Nil for the scheduler's own.
+}
+
+// variant returns the behaviour that the settings choose. It needs the leaser
+// and the publisher.
+func (e *Entry) variant() (v variant) {
+	place := router.Config{FailureDomain: e.settings.FailureDomain, Region: e.settings.Region}
+	v = variant{chooser: router.New(place), admitter: e.parts.leaser.Borrower()}
+	switch e.settings.Experimental.Baseline {
+	case configurer.EqualShares:
+		// The settings of a measured deployment name all entries as seeds.
+		shares := limiter.NewEqualShares(e.options.Clock, len(e.settings.Peers())+1)
+		e.parts.publisher.Subscribe(&shareInstaller{shares: shares})
+		v.admitter = shares
+	case configurer.FirstCome:
+		v.order = scheduler.FirstComeOrder{}
+	case configurer.NoYield:
+		v.roomMaker = dispatcher.NoYield{}
+	case configurer.RoundRobin:
+		v.chooser = router.NewRoundRobin(place)
+	}
+	return v
+}
+
+// A shareInstaller puts the workspaces of a revision into force in equal
+// shares.
+type shareInstaller struct {
+	shares *limiter.EqualShares
+}
+
+// Install implements publisher.Subscriber.
+func (i *shareInstaller) Install(s publisher.Snapshot) {
+	i.shares.Install(s.Declaration)
+}
--- a/internal/scheduler/lane.go
+++ b/internal/scheduler/lane.go
@@ -13,6 +13,7 @@
 // A lane holds the jobs that share room.
 type lane struct {
 	accounts *accounts
+	order    Order
 
 	mu     sync.Mutex
 	jobs   map[Key]*entry
@@ -22,8 +23,8 @@
 	pace   time.Duration     // Time per item at this entry.
 }
 
-// A queue holds the ready jobs of one workspace, by the time at which they have
-// to start.
+// A queue holds the ready jobs of one workspace, by the position that the order
+// gives them.
 type queue struct {
 	workspace string
 	account   *account
@@ -34,14 +35,15 @@
 // An entry is a job in a queue or among the parked ones.
 type entry struct {
 	job    Job
-	at     time.Time // Latest start when ready, time of return when parked.
+	at     time.Time // Position when ready, time of return when parked.
 	index  int       // In its heap.
 	parked bool
 }
 
-func newLane(a *accounts) *lane {
+func newLane(a *accounts, o Order) *lane {
 	return &lane{
 		accounts: a,
+		order:    o,
 		jobs:     make(map[Key]*entry),
 		queues:   make(map[string]*queue),
 		pace:     DefaultItemTime,
@@ -117,11 +119,11 @@
 
 // next chooses a job. The cost is linear in the workspaces with ready jobs and
 // logarithmic in the jobs.
-func (l *lane) next(now time.Time, chunkItems int, allowance float64) (d Decision, ok bool) {
+func (l *lane) next(now time.Time, chunkItems int) (d Decision, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.unpark(now)
-	q, reason := l.choose(now, allowance)
+	q, reason := l.choose(now)
 	if q == nil {
 		return Decision{}, false
 	}
@@ -132,28 +134,18 @@
 	return d, true
 }
 
-// choose returns the queue whose first job comes next. The caller holds mu.
-func (l *lane) choose(now time.Time, allowance float64) (chosen *queue, reason Reason) {
-	least := 0.0
-	served := make([]float64, len(l.ready))
-	for i, q := range l.ready {
-		served[i] = q.account.served(now)
-		if chosen == nil || served[i] < least || served[i] == least && q.workspace < chosen.workspace {
-			chosen, least = q, served[i]
-		}
+// choose returns the queue whose first job comes next, or nil. The caller holds
+// mu.
+func (l *lane) choose(now time.Time) (chosen *queue, reason Reason) {
+	if len(l.ready) == 0 {
+		return nil, ""
 	}
-	reason = FairShare
-	var first time.Time
+	candidates := make([]Candidate, len(l.ready))
 	for i, q := range l.ready {
-		startBy := q.jobs[0].at
-		if startBy.After(now) || served[i] > least+allowance {
-			continue
-		}
-		if first.IsZero() || startBy.Before(first) {
-			chosen, first, reason = q, startBy, DueSoon
-		}
+		candidates[i] = Candidate{Job: q.jobs[0].job, Position: q.jobs[0].at, Served: q.account.served(now)}
 	}
-	return chosen, reason
+	i, reason := l.order.Choose(now, candidates)
+	return l.ready[i], reason
 }
 
 // unpark brings back the jobs whose time has come. The caller holds mu.
@@ -179,7 +171,7 @@
 		q.position = len(l.ready)
 		l.ready = append(l.ready, q)
 	}
-	e.at = l.startBy(e.job)
+	e.at = l.order.Position(e.job, l.pace)
 	heap.Push(&q.jobs, e)
 }
 
@@ -219,16 +211,10 @@
 	if e.parked {
 		return
 	}
-	e.at = l.startBy(e.job)
+	e.at = l.order.Position(e.job, l.pace)
 	heap.Fix(&l.queues[e.job.Workspace].jobs, e.index)
 }
 
-// startBy returns the latest time at which this entry alone could start the
-// rest of the job and end it in time.
-func (l *lane) startBy(j Job) time.Time {
-	return j.Due.Add(-time.Duration(j.Remaining) * l.pace)
-}
-
 // A timeHeap is a heap of entries by their time.
 type timeHeap []*entry
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -41,6 +41,7 @@
 	Clock           Clock
 	HalfLife        time.Duration // Work done counts half after this time.
 	UrgentAllowance float64       // Tokens by which a workspace with urgent jobs may run ahead of the least served.
+	Order           Order         // A FairOrder with the UrgentAllowance by default.
 }
 
 // A Key names a job.
@@ -52,9 +53,10 @@
 // A Job is an unfinished batch job.
 type Job struct {
 	Key
-	Lane      string    // What the items of the job share room in, such as "model/lm-desk".
-	Due       time.Time // When the last result should be there.
-	Remaining int       // Items that are not known to be finished.
+	Lane       string // What the items of the job share room in, such as "model/lm-desk".
+	AcceptedAt time.Time
+	Due        time.Time // When the last result should be there.
+	Remaining  int       // Items that are not known to be finished.
 }
 
 // A Reason says why a job was chosen.
@@ -98,6 +100,9 @@
 	if cfg.UrgentAllowance <= 0 {
 		cfg.UrgentAllowance = DefaultUrgentAllowance
 	}
+	if cfg.Order == nil {
+		cfg.Order = FairOrder{UrgentAllowance: cfg.UrgentAllowance}
+	}
 	s := &Scheduler{cfg: cfg}
 	s.accounts.halfLife = cfg.HalfLife
 	for i := range s.shards {
@@ -131,7 +136,7 @@
 // workspace for the items of that chunk in advance.
 func (s *Scheduler) Next(laneName string, chunkItems int) (d Decision, ok bool) {
 	now := s.cfg.Clock.Now()
-	d, ok = s.lane(laneName).next(now, chunkItems, s.cfg.UrgentAllowance)
+	d, ok = s.lane(laneName).next(now, chunkItems)
 	if !ok {
 		return d, false
 	}
@@ -188,7 +193,7 @@
 	if l, ok = shard.lanes[name]; ok {
 		return l
 	}
-	l = newLane(&s.accounts)
+	l = newLane(&s.accounts, s.cfg.Order)
 	shard.lanes[name] = l
 	return l
 }
