--- a/internal/configurer/configurer_test.go
+++ b/internal/configurer/configurer_test.go
@@ -33,6 +33,12 @@
 		_, faults := configurer.Parse("f.toml", read(t, "entry-faulty.toml"))
 		assertFaults(t, faults, string(read(t, "entry-faulty.txt")))
 	})
+	t.Run("baselines", func(t *testing.T) {
+		known, unknown := configurer.Defaults(), configurer.Defaults()
+		known.Experimental.Baseline = configurer.NoYield
+		unknown.Experimental.Baseline = "yield"
+		assert.Equal(t, len(configurer.Validate("f.toml", unknown)), len(configurer.Validate("f.toml", known))+1)
+	})
 	t.Run("an empty file lacks what is required", func(t *testing.T) {
 		_, faults := configurer.Parse("f.toml", nil)
 		assert.Equal(t, len(faults), 11, "%v", faults)
--- a/internal/dispatcher/item_test.go
+++ b/internal/dispatcher/item_test.go
@@ -135,6 +135,21 @@
 		end3()
 	})
 
+	// Guards against a baseline that still yields, which would make yielding
+	// look useless in comparisons.
+	t.Run("the no-yield baseline keeps items", func(t *testing.T) {
+		r := newRig(t, 1, 0)
+		r.cfg.RoomMaker = NoYield{}
+		runs := r.startItems(t, 3)
+		end, end2 := r.startStream(t, 1), r.startStream(t, 2)
+		r.Yield("engine-0")
+		assert.Assert(t, !runs[0].ended() && !runs[1].ended() && !runs[2].ended())
+		assert.Equal(t, len(r.yields), 0)
+		end()
+		end2()
+		r.displacer.displaceAll("engine-0")
+	})
+
 	// Guards against an item that is counted just before an online request comes
 	// and registered just after it, so that the request does not find it.
 	t.Run("an item that was not registered yet yields too", func(t *testing.T) {
--- /dev/null
+++ b/internal/measurer/counts_test.go
@@ -0,0 +1,21 @@
+package measurer
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against counting refused tries as work done, and against a counter
+// that an entry which started again has lowered.
+func TestBatchCounts(t *testing.T) {
+	var counts batchCounts
+	counts.add(strings.NewReader(`# HELP dispatcher_batch_items_total Tries of batch items by their end
+dispatcher_batch_items_total{code="no-room",route="desk"} 900
+dispatcher_batch_items_total{code="ok",route="desk"} 120
+dispatcher_batch_yields_total 7
+`))
+	assert.Equal(t, counts, batchCounts{ran: 120, yielded: 7})
+	assert.Equal(t, counts.since(batchCounts{ran: 20, yielded: 9}), batchCounts{ran: 100})
+}
--- a/internal/measurer/schedule_test.go
+++ b/internal/measurer/schedule_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"math"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -114,7 +116,7 @@
 func TestDescriptions(t *testing.T) {
 	names, err := Scenarios()
 	assert.NilError(t, err)
-	assert.Equal(t, len(names), 10)
+	assert.Equal(t, len(names), 18)
 	for _, name := range names {
 		t.Run(name, func(t *testing.T) {
 			d, err := Load(name)
@@ -133,6 +135,22 @@
 	assert.ErrorContains(t, err, "unknown")
 }
 
+// Guards against a description file whose keys are not read, which would run
+// something else than it says.
+func TestLoadFile(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "own.toml")
+	text := "deployment = \"authority\"\n[scenario]\nseed = 7\nduration = \"3s\"\n"
+	assert.NilError(t, os.WriteFile(file, []byte(text), 0o600))
+	d, err := LoadFile(file)
+	assert.NilError(t, err)
+	assert.Equal(t, d.Deployment.Name, "authority")
+	assert.Equal(t, d.Scenario.Seed, uint64(7))
+
+	assert.NilError(t, os.WriteFile(file, []byte(text+"seeds = 8\n"), 0o600))
+	_, err = LoadFile(file)
+	assert.ErrorContains(t, err, "unknown key scenario.seeds")
+}
+
 // Guards against a mistake in a description that changes a run silently.
 func TestDescriptionFaults(t *testing.T) {
 	d, err := Load("ljepilo-hub/failure-domain-lost")
