feat: counters of messages and bytes on links

The linker now counts frames and their bytes by kind and direction when it is given a meter; the relays of the harness count datagrams, since packets of QUIC come on top. Wrapping the socket of the links was ruled out: quic-go loses its batched sends behind a wrapper. Kinds that are not served share one label, so that a peer cannot add time series.

--- a/internal/linker/codec.go
+++ b/internal/linker/codec.go
@@ -41,29 +41,30 @@
 }
 
 // readFrame reads the only envelope of one direction of a stream. The length
-// is checked before anything is allocated for the body.
-func readFrame(r io.Reader) (e Envelope, err error) {
+// is checked before anything is allocated for the body. The size n includes
+// the header.
+func readFrame(r io.Reader) (e Envelope, n int, err error) {
 	var header [frameHeaderBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
-		return Envelope{}, err
+		return Envelope{}, 0, err
 	}
 	size := binary.BigEndian.Uint32(header[:])
 	if size > MaxMessageBytes {
-		return Envelope{}, merry.Prependf(ErrTooLarge, "frame of %d bytes", size)
+		return Envelope{}, 0, merry.Prependf(ErrTooLarge, "frame of %d bytes", size)
 	}
 	var body bytes.Buffer
 	body.Grow(min(int(size), initialFrameBytes))
 	if _, err := io.CopyN(&body, r, int64(size)); err != nil {
-		return Envelope{}, err
+		return Envelope{}, 0, err
 	}
-	if n, err := r.Read(header[:]); n > 0 || err != io.EOF {
-		return Envelope{}, merry.Errorf("no end of stream after the frame: %v", err)
+	if extra, err := r.Read(header[:]); extra > 0 || err != io.EOF {
+		return Envelope{}, 0, merry.Errorf("no end of stream after the frame: %v", err)
 	}
 	if err := cbor.Unmarshal(body.Bytes(), &e); err != nil {
-		return Envelope{}, err
+		return Envelope{}, 0, err
 	}
 	if e.Version != ProtocolVersion {
-		return e, merry.Errorf("envelope version %d is not supported", e.Version)
+		return e, 0, merry.Errorf("envelope version %d is not supported", e.Version)
 	}
-	return e, nil
+	return e, frameHeaderBytes + int(size), nil
 }
--- a/internal/linker/endpoint.go
+++ b/internal/linker/endpoint.go
@@ -14,6 +14,7 @@
 	"github.com/quic-go/quic-go"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
+	"go.opentelemetry.io/otel/metric"
 
 	"github.com/quetzalhitch/quetzalhitch/internal/registrar"
 )
@@ -57,15 +58,17 @@
 	TLS           *tls.Config // From KeyFiles.Load or Credentials.TLS.
 	Clock         Clock
 	Logger        logrus.FieldLogger
+	Meter         metric.Meter // Nil counts nothing.
 }
 
 // A Linker is this instance's end of the links to all peers.
 type Linker struct {
-	cfg       Config
-	server    *tls.Config
-	transport *quic.Transport
-	handlers  map[Kind]Handler // Not changed after Start.
-	nextID    atomic.Uint64
+	cfg         Config
+	instruments *instruments
+	server      *tls.Config
+	transport   *quic.Transport
+	handlers    map[Kind]Handler // Not changed after Start.
+	nextID      atomic.Uint64
 
 	// ctx ends when the Linker stops; all connections and dials depend on it.
 	ctx  context.Context
@@ -89,6 +92,10 @@
 	if err := checkOwnIdentity(cfg); err != nil {
 		return nil, err
 	}
+	counters, err := newInstruments(cfg.Meter)
+	if err != nil {
+		return nil, err
+	}
 	address, err := net.ResolveUDPAddr("udp", cfg.ListenAddress)
 	if err != nil {
 		return nil, err
@@ -99,13 +106,14 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	return &Linker{
-		cfg:       cfg,
-		server:    serverTLS(cfg.TLS),
-		transport: &quic.Transport{Conn: socket},
-		handlers:  make(map[Kind]Handler),
-		ctx:       ctx,
-		stop:      stop,
-		links:     make(map[string]*link),
+		cfg:         cfg,
+		instruments: counters,
+		server:      serverTLS(cfg.TLS),
+		transport:   &quic.Transport{Conn: socket},
+		handlers:    make(map[Kind]Handler),
+		ctx:         ctx,
+		stop:        stop,
+		links:       make(map[string]*link),
 	}, nil
 }
 
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -84,7 +84,7 @@
 		if err != nil {
 			return Envelope{}, merry.Wrap(ErrUnreachable, merry.WithCause(err))
 		}
-		x := exchange{conn: conn, request: request, frame: frame}
+		x := exchange{conn: conn, instruments: k.linker.instruments, request: request, frame: frame}
 		answer, err = x.run(ctx)
 		if err == nil {
 			k.progress()
@@ -214,9 +214,10 @@
 
 // An exchange is one request and its answer on a stream of their own.
 type exchange struct {
-	conn    *quic.Conn
-	request Envelope
-	frame   []byte
+	conn        *quic.Conn
+	instruments *instruments
+	request     Envelope
+	frame       []byte
 
 	// handedOver means that the peer may have received the request. It is set
 	// before the first byte is written: a byte in the send buffer can reach
@@ -243,8 +244,10 @@
 	if _, err = stream.Write(x.frame); err == nil {
 		err = stream.Close()
 	}
+	var n int
 	if err == nil {
-		answer, err = readFrame(stream)
+		x.instruments.count(sent, x.request.Kind, len(x.frame))
+		answer, n, err = readFrame(stream)
 	}
 	if err != nil {
 		stream.CancelWrite(codeCancelled)
@@ -254,6 +257,7 @@
 	if answer.ID != x.request.ID || answer.Kind != x.request.Kind {
 		return Envelope{}, merry.Errorf("answer %d of kind %q to request %d", answer.ID, answer.Kind, x.request.ID)
 	}
+	x.instruments.count(received, answer.Kind, n)
 	return answer, nil
 }
 
--- a/internal/linker/server.go
+++ b/internal/linker/server.go
@@ -73,7 +73,7 @@
 // deadlines are in the time of the operating system, which QUIC uses.
 func (s *serving) run() {
 	_ = s.stream.SetReadDeadline(time.Now().Add(callTimeout))
-	request, err := readFrame(s.stream)
+	request, n, err := readFrame(s.stream)
 	if err != nil {
 		s.refuse(err)
 		return
@@ -84,6 +84,7 @@
 		_ = s.conn.CloseWithError(codeIdentity, "sender is not the instance of the certificate")
 		return
 	}
+	s.linker.instruments.count(received, s.linker.servedKind(request.Kind), n)
 	s.answer(request)
 }
 
@@ -124,6 +125,7 @@
 		s.stream.CancelWrite(codeCancelled)
 		return
 	}
+	s.linker.instruments.count(sent, s.linker.servedKind(request.Kind), len(frame))
 	_ = s.stream.Close()
 }
 
--- a/internal/runner/assemble.go
+++ b/internal/runner/assemble.go
@@ -135,6 +135,7 @@
 		TLS:           tlsConfig,
 		Clock:         e.options.Clock,
 		Logger:        e.options.Logger,
+		Meter:         e.meter("linker"),
 	})
 	if err != nil {
 		return err
--- a/internal/tester/udprelay.go
+++ b/internal/tester/udprelay.go
@@ -50,6 +50,8 @@
 	cancel  context.CancelFunc
 	workers conc.WaitGroup
 
+	carried carried
+
 	mu       sync.Mutex
 	target   netip.AddrPort // Invalid until SetTarget; datagrams are lost until then.
 	distance time.Duration  // Latency that is no fault.
@@ -270,6 +272,8 @@
 
 // enqueue applies the faults of a direction to a datagram and queues it.
 func (r *UDPRelay) enqueue(s *session, d Direction, data []byte) {
+	r.carried.datagrams.Add(1)
+	r.carried.bytes.Add(int64(len(data)))
 	delay, lost := r.decide(d)
 	if lost {
 		return
