feat: measure slopes of the cost of control

docs/CAPACITY.md needs slopes from runs. The subcommand starts deployments of real entries at several sizes, reads processor time, memory, link traffic and platform calls over a window, and fits lines with intercept and spread.

--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -26,6 +26,7 @@
 	Compare *compareCmd `arg:"subcommand:compare" help:"compare a result with batch work and one without"`
 	List    *listCmd    `arg:"subcommand:list"    help:"list scenarios and baselines"`
 	Run     *runCmd     `arg:"subcommand:run"     help:"run a scenario"`
+	Slopes  *slopesCmd  `arg:"subcommand:slopes"  help:"measure how the cost of control grows with the size"`
 }
 
 // A runnable is a subcommand with its parsed arguments.
--- /dev/null
+++ b/cmd/measure/slopes.go
@@ -0,0 +1,231 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/measurer"
+	"github.com/quetzalhitch/quetzalhitch/internal/tester"
+	"github.com/quetzalhitch/quetzalhitch/pkg/declarer"
+)
+
+// Parts of the command.
+const (
+	partActive     = "active"
+	partEntries    = "entries"
+	partJobs       = "jobs"
+	partWorkspaces = "workspaces"
+)
+
+// Sizes of deployments that only one part varies.
+const (
+	usualEntries    = 4
+	usualWorkspaces = 8
+)
+
+// slopesFile is the file of the result.
+const slopesFile = "slopes.json"
+
+// A slopesCmd measures how the cost of control grows with the numbers of
+// entries and workspaces, and that of batch with the size of a job.
+type slopesCmd struct {
+	Parts      []string      `arg:"positional"   help:"entries, workspaces, active (workspaces that ask) or jobs; all when empty"`
+	Duration   time.Duration `arg:"--duration"   help:"length of a window of measurement"       default:"10s"`
+	Entries    []int         `arg:"--entries"    help:"numbers of entries; 4, 8, 16 and 32 when empty"`
+	Folder     string        `arg:"--folder"     help:"keep results and outputs here; nothing is kept when empty"`
+	JobLimit   time.Duration `arg:"--job-limit"  help:"give a job up after this time"           default:"90s"`
+	JobSizes   []int         `arg:"--job-sizes"  help:"items of a job; 1,000, 10,000 and 110,000 when empty"`
+	Settle     time.Duration `arg:"--settle"     help:"time from ready entries to the window"   default:"6s"`
+	Workspaces []int         `arg:"--workspaces" help:"numbers of workspaces; 8, 64 and 250 when empty"`
+
+	binaries tester.Binaries
+	report   slopeReport
+}
+
+func (c *slopesCmd) run(ctx context.Context, stdout io.Writer) (err error) {
+	c.setDefaults()
+	if c.Folder == "" {
+		if c.Folder, err = os.MkdirTemp("", "quetzalhitch-slopes-"); err != nil {
+			return err
+		}
+		defer func() { _ = os.RemoveAll(c.Folder) }()
+	}
+	if err = os.MkdirAll(c.Folder, 0o700); err != nil {
+		return err
+	}
+	if c.binaries, err = tester.BuildBinaries(ctx, c.Folder); err != nil {
+		return err
+	}
+	for _, part := range c.Parts {
+		if err = c.runPart(ctx, part); err != nil {
+			err = merry.Prependf(err, "measure %s", part)
+			break
+		}
+	}
+	// What was measured before a failure is printed all the same.
+	if tableErr := c.report.writeTable(stdout); tableErr != nil {
+		return merry.Append(tableErr, fmt.Sprint(err))
+	}
+	if writeErr := writeJSON(filepath.Join(c.Folder, slopesFile), c.report); err == nil {
+		err = writeErr
+	}
+	return err
+}
+
+func (c *slopesCmd) setDefaults() {
+	if len(c.Parts) == 0 {
+		c.Parts = []string{partEntries, partWorkspaces, partActive, partJobs}
+	}
+	if len(c.Entries) == 0 {
+		c.Entries = []int{4, 8, 16, 32}
+	}
+	if len(c.Workspaces) == 0 {
+		c.Workspaces = []int{8, 64, 250}
+	}
+	if len(c.JobSizes) == 0 {
+		c.JobSizes = []int{1_000, 10_000, 110_000}
+	}
+}
+
+func (c *slopesCmd) runPart(ctx context.Context, part string) error {
+	switch part {
+	case partEntries:
+		for _, n := range c.Entries {
+			if err := c.window(ctx, part, "entry", n, n, usualWorkspaces); err != nil {
+				return err
+			}
+		}
+	case partWorkspaces, partActive:
+		for _, n := range c.Workspaces {
+			if err := c.window(ctx, part, "workspace", n, usualEntries, n); err != nil {
+				return err
+			}
+		}
+	case partJobs:
+		return c.jobs(ctx)
+	default:
+		return merry.Errorf("unknown part %q", part)
+	}
+	return nil
+}
+
+// start starts a deployment; all deployments have four failure domains and
+// two entries with a disk.
+func (c *slopesCmd) start(ctx context.Context, part string, size, entries, workspaces int) (*fleet, error) {
+	d := measurer.Deployment{
+		Name:   fmt.Sprintf("%s-%d", part, size),
+		Models: []declarer.Model{{Name: "lm-desk"}},
+		ServerGroups: []measurer.ServerGroup{
+			{
+				Name: "lm-desk", Kind: declarer.Engine, Count: 4, Models: []string{"lm-desk"}, Capacity: 64, BatchBound: 64,
+				Arguments: []string{"--token-time", "100us", "--prefill-time", "1us"},
+			},
+			{Name: "label-api", Kind: declarer.Service, Count: 1, Service: "label-api", Capacity: 256},
+		},
+		Routes: []declarer.Route{
+			{Name: "desk", Model: "lm-desk", Idempotent: true, Batch: true, Deadline: declarer.Duration(20 * time.Second)},
+			{Name: "labels", Service: "label-api", Idempotent: true, Deadline: declarer.Duration(2 * time.Second)},
+		},
+	}
+	for i := range 4 {
+		d.FailureDomains = append(d.FailureDomains,
+			declarer.FailureDomain{Name: fmt.Sprintf("domain-%d", i+1), Region: "north"})
+	}
+	for i := range entries {
+		d.Entries = append(d.Entries, measurer.Entry{
+			ID: fmt.Sprintf("entry-%03d", i+1), FailureDomain: d.FailureDomains[i%4].Name, Disk: i < 2,
+		})
+	}
+	for i := range workspaces {
+		d.Workspaces = append(d.Workspaces,
+			measurer.Workspace{Name: fmt.Sprintf("workspace-%03d", i+1), Rate: 20, Burst: 40})
+	}
+	return startFleet(ctx, d, tester.DeploymentConfig{
+		Folder:   filepath.Join(c.Folder, d.Name),
+		Binaries: c.binaries,
+	})
+}
+
+// window reads a deployment before and after a time of rest or of light
+// load.
+func (c *slopesCmd) window(ctx context.Context, part, against string, size, entries, workspaces int) error {
+	f, err := c.start(ctx, part, size, entries, workspaces)
+	if err != nil {
+		return err
+	}
+	defer f.close()
+	loadCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	asked := make(chan int, 1)
+	if part == partActive {
+		go func() { asked <- ask(loadCtx, f) }()
+	}
+	if err := pause(ctx, c.Settle); err != nil {
+		return err
+	}
+	before, err := readSlopes(ctx, f)
+	if err != nil {
+		return err
+	}
+	if err := pause(ctx, c.Duration); err != nil {
+		return err
+	}
+	after, err := readSlopes(ctx, f)
+	if err != nil {
+		return err
+	}
+	held, err := roles(ctx, f)
+	if err != nil {
+		return err
+	}
+	c.compare(part, against, float64(size), before, after, held)
+	if part == partActive {
+		stop()
+		c.report.add(part, "requests refused or failed", roleAll, against, float64(size), float64(<-asked))
+	}
+	return nil
+}
+
+// compare adds what happened between two readings, for each entry or as a
+// mean of all.
+func (c *slopesCmd) compare(part, against string, size float64, before, after reading, held [][]string) {
+	seconds := after.At.Sub(before.At).Seconds()
+	n := float64(len(after.Pages))
+	for i, b := range before.Pages {
+		a := after.Pages[i]
+		for _, role := range append(slices.Clone(held[i]), roleAll) {
+			c.report.add(part, "cpu % of a core", role, against, size, 100*(a.CPU-b.CPU)/seconds)
+			c.report.add(part, "resident MB", role, against, size, a.Resident/1e6)
+			c.report.add(part, "link messages/s", role, against, size, (a.Messages-b.Messages)/seconds)
+			c.report.add(part, "frame B/s sent", role, against, size, (a.SentBytes-b.SentBytes)/seconds)
+		}
+		c.report.add(part, "heartbeat B/s sent", roleAll, against, size, (a.HeartbeatBytes-b.HeartbeatBytes)/seconds)
+		c.report.add(part, "borrow+return messages/s", roleAll, against, size, (a.Borrows-b.Borrows)/seconds)
+		c.report.add(part, "borrow+return B/s sent", roleAll, against, size, (a.BorrowBytes-b.BorrowBytes)/seconds)
+	}
+	c.report.add(part, "UDP B/s sent per entry", roleAll, against, size, (after.WireBytes-before.WireBytes)/seconds/n)
+	c.report.add(part, "datagrams/s sent per entry", roleAll, against, size, (after.Datagrams-before.Datagrams)/seconds/n)
+	p, q := before.Platform, after.Platform
+	c.report.add(part, "platform reads/s of all", roleAll, against, size, float64(q.Reads-p.Reads)/seconds)
+	c.report.add(part, "platform watches/s of all", roleAll, against, size, float64(q.Watches-p.Watches)/seconds)
+	c.report.add(part, "platform writes/s of all", roleAll, against, size, float64(q.Writes-p.Writes)/seconds)
+}
+
+// pause waits unless ctx ends first.
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
