fix: a standing slot for each entry in the slopes

The default of 8 slots left entries without one, and these list the slots every two seconds: the platform's reads would have grown faster than the design's rule of a slot for each entry makes them.

--- a/cmd/measure/slopes.go
+++ b/cmd/measure/slopes.go
@@ -147,10 +147,27 @@
 		d.Workspaces = append(d.Workspaces,
 			measurer.Workspace{Name: fmt.Sprintf("workspace-%03d", i+1), Rate: 20, Burst: 40})
 	}
-	return startFleet(ctx, d, tester.DeploymentConfig{
+	f, err := startFleet(ctx, d, tester.DeploymentConfig{
 		Folder:   filepath.Join(c.Folder, d.Name),
 		Binaries: c.binaries,
 	})
+	if err != nil {
+		return nil, err
+	}
+	if err := declareSlots(ctx, f, entries); err != nil {
+		f.close()
+		return nil, err
+	}
+	return f, nil
+}
+
+// declareSlots declares a standing slot for each entry. Entries without one
+// ask the platform again every two seconds, which would add to the slopes.
+func declareSlots(ctx context.Context, f *fleet, entries int) error {
+	slots := max(entries, declarer.DefaultStandingSlots)
+	note := fmt.Sprintf("title = \"Slots\"\n[changed.limits]\nstanding-slots = %d\n", slots)
+	_, err := f.deployment.Apply(ctx, f.deployment.Entries[0].ID, note)
+	return err
 }
 
 // window reads a deployment before and after a time of rest or of light
