--- a/cmd/measure/slopereading.go
+++ b/cmd/measure/slopereading.go
@@ -28,9 +28,10 @@
 
 // Keys of the platform that name the holder of a lease.
 const (
-	lenderPrefix = "lender/"
-	placementKey = "placement/lease"
-	jobsPrefix   = "batch/jobs/"
+	lenderPrefix   = "lender/"
+	placementKey   = "placement/lease"
+	jobsPrefix     = "batch/jobs/"
+	snapshotPrefix = "config/snapshot/"
 )
 
 // A page is what the metrics page of an entry says.
@@ -179,6 +180,18 @@
 	return all, nil
 }
 
+// largest returns the size of the largest record under a prefix.
+func largest(ctx context.Context, f *fleet, prefix string) (n int, err error) {
+	records, err := platformClient(f).List(ctx, prefix)
+	if err != nil {
+		return 0, err
+	}
+	for _, r := range records {
+		n = max(n, len(r.Value))
+	}
+	return n, nil
+}
+
 // names says whether a record names an instance.
 func names(records []storer.Entry, instance string) bool {
 	for _, r := range records {
--- a/cmd/measure/slopes.go
+++ b/cmd/measure/slopes.go
@@ -203,6 +203,11 @@
 		return err
 	}
 	c.compare(part, against, float64(size), before, after, held)
+	snapshot, err := largest(ctx, f, snapshotPrefix)
+	if err != nil {
+		return err
+	}
+	c.report.add(part, "snapshot bytes", roleAll, against, float64(size), float64(snapshot))
 	if part == partActive {
 		stop()
 		c.report.add(part, "requests refused or failed", roleAll, against, float64(size), float64(<-asked))
