--- a/internal/prover/path_test.go
+++ b/internal/prover/path_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -57,7 +58,12 @@
 // awaitJob waits until a job has a state.
 func (b *bench) awaitJob(entry, key, name, state string) {
 	b.t.Helper()
-	tester.Eventually(b.t, patience, "job "+name+" is "+state, func() error {
+	b.awaitJobWithin(patience, entry, key, name, state)
+}
+
+func (b *bench) awaitJobWithin(limit time.Duration, entry, key, name, state string) {
+	b.t.Helper()
+	tester.Eventually(b.t, limit, "job "+name+" is "+state, func() error {
 		a, err := b.call(entry, get(key, "/v1/batches/"+name))
 		if err != nil {
 			return err
