--- a/internal/prover/batchbench_test.go
+++ b/internal/prover/batchbench_test.go
@@ -63,6 +63,21 @@
 	return record, json.Unmarshal(entry.Value, &record)
 }
 
+// holds says whether an entry has claimed a chunk of a job that is not done.
+func (b *bench) holds(entry, job string) bool {
+	b.t.Helper()
+	entries, err := b.platform().List(b.t.Context(), "batch/chunks/packing/"+job+"/")
+	assert.NilError(b.t, err)
+	for _, e := range entries {
+		var record batcher.ChunkRecord
+		assert.NilError(b.t, json.Unmarshal(e.Value, &record))
+		if record.State == batcher.ChunkClaimed && strings.HasPrefix(record.Holder, entry+".") {
+			return true
+		}
+	}
+	return false
+}
+
 // awaitChunk waits until a chunk has a state and returns its record.
 func (b *bench) awaitChunk(job, chunk string, state batcher.ChunkState) (record batcher.ChunkRecord) {
 	b.t.Helper()
