--- /dev/null
+++ b/internal/prover/batchfault_test.go
@@ -0,0 +1,102 @@
+package prover
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"gotest.tools/v3/assert"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/batcher"
+	"github.com/quetzalhitch/quetzalhitch/internal/emulator/engineemulator"
+	"github.com/quetzalhitch/quetzalhitch/internal/emulator/platformemulator"
+	"github.com/quetzalhitch/quetzalhitch/internal/tester"
+)
+
+// Guards against a write of the platform that is made twice, or taken for
+// failed, because its answer was lost after it took effect.
+func TestLostAnswersOfThePlatform(t *testing.T) {
+	b := startBench(t, benchConfig{})
+	key := b.keys["packing"]
+	const items = 130
+	prefixes := map[string]string{
+		"of the index entry": "batch/open/",
+		"of the manifest":    "batch/jobs/",
+		"of claims, commits": "batch/chunks/",
+	}
+	for name, prefix := range prefixes {
+		t.Run(name, func(t *testing.T) {
+			job := "lost-" + strings.Split(prefix, "/")[1]
+			content := batchItems(job, items, 5)
+			b.platformFaults(platformemulator.Faults{LoseAnswers: []platformemulator.LostAnswer{
+				{KeyPrefix: prefix, Writes: 4},
+			}})
+			// A caller whose submission is in doubt sends it again.
+			tester.Eventually(t, patience, "the job is accepted", func() error {
+				a, err := b.call("entry-a1", submit(key, job, content))
+				if err == nil && a.status != http.StatusOK {
+					err = merry.New(a.body)
+				}
+				return err
+			})
+			b.awaitJobWithin(takeover, "entry-b1", key, job, "completed")
+			assertResults(t, b.results("entry-b1", key, job), job, items)
+			assert.Equal(t, b.dispatched(job), items, "items ran again")
+		})
+	}
+}
+
+// Guards against an item that can never be done and holds up its job, or ends
+// without a reason.
+func TestItemsThatCannotBeDone(t *testing.T) {
+	b := startBench(t, benchConfig{})
+	key := b.keys["packing"]
+	const items = 103
+	b.engineFault(engineemulator.Fault{Only: "poison-item-10", Status: http.StatusInternalServerError})
+	assertOK(t, b.mustCall("entry-a1", submit(key, "poison", batchItems("poison", items, 5))))
+	b.awaitJobWithin(takeover, "entry-b1", key, "poison", "completed")
+
+	var done, failed []string
+	for line := range strings.Lines(b.results("entry-b1", key, "poison").body) {
+		var result batcher.ResultLine
+		assert.NilError(t, json.Unmarshal([]byte(line), &result))
+		if result.Failure == nil {
+			done = append(done, result.CustomID)
+			assert.Equal(t, result.StatusCode, http.StatusOK, "%s", line)
+			continue
+		}
+		failed = append(failed, result.CustomID)
+		assert.Assert(t, result.Failure.Reason != "", "%s", line)
+		assert.Equal(t, result.Failure.Tries, 3, "%s", line)
+	}
+	assert.DeepEqual(t, failed, []string{"poison-item-10", "poison-item-100", "poison-item-101", "poison-item-102"})
+	assert.Equal(t, len(done), items-len(failed))
+	slices.Sort(done)
+	assert.Equal(t, len(slices.Compact(done)), items-len(failed), "items have two results")
+}
+
+// Guards against a job that does not come back after an outage of the platform.
+func TestPlatformDownDuringAJob(t *testing.T) {
+	b := startBench(t, benchConfig{})
+	key := b.keys["packing"]
+	const items = 600
+	assertOK(t, b.mustCall("entry-a1", submit(key, "outage", batchItems("outage", items, 25))))
+	b.awaitStarted("outage", 30)
+	b.platformFaults(platformemulator.Faults{Outage: platformemulator.OutageDrop})
+	outageEnds := time.Now().Add(4 * time.Second)
+	tester.Eventually(t, patience, "the outage has lasted", func() error {
+		if time.Now().Before(outageEnds) {
+			return merry.New("not yet")
+		}
+		return nil
+	})
+	a := b.mustCall("entry-a1", submit(key, "refused", batchItems("refused", 1, 1)))
+	assertRefused(t, a, "platform-unavailable", "not-run")
+	b.platformFaults(platformemulator.Faults{})
+	b.awaitJobWithin(takeover, "entry-b1", key, "outage", "completed")
+	assertResults(t, b.results("entry-b1", key, "outage"), "outage", items)
+}
