--- a/internal/prover/rate_test.go
+++ b/internal/prover/rate_test.go
@@ -13,8 +13,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/sourcegraph/conc"
 	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
 
 	"github.com/quetzalhitch/quetzalhitch/internal/storer"
