--- a/internal/prover/batchbench_test.go
+++ b/internal/prover/batchbench_test.go
@@ -14,7 +14,6 @@
 
 	"github.com/quetzalhitch/quetzalhitch/internal/batcher"
 	"github.com/quetzalhitch/quetzalhitch/internal/emulator/engineemulator"
-	"github.com/quetzalhitch/quetzalhitch/internal/emulator/platformemulator"
 	"github.com/quetzalhitch/quetzalhitch/internal/storer"
 	"github.com/quetzalhitch/quetzalhitch/internal/tester"
 )
@@ -132,11 +131,6 @@
 	}
 }
 
-func (b *bench) platformFaults(f platformemulator.Faults) {
-	b.t.Helper()
-	assert.NilError(b.t, b.Platform.SetFaults(b.t.Context(), f))
-}
-
 // awaitLog waits until an entry has logged a text.
 func (b *bench) awaitLog(entry, text string) {
 	b.t.Helper()
--- a/internal/prover/bench_test.go
+++ b/internal/prover/bench_test.go
@@ -17,6 +17,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/quetzalhitch/quetzalhitch/internal/emulator"
+	"github.com/quetzalhitch/quetzalhitch/internal/emulator/platformemulator"
 	"github.com/quetzalhitch/quetzalhitch/internal/tester"
 	"github.com/quetzalhitch/quetzalhitch/pkg/declarer"
 )
@@ -26,6 +27,9 @@
 	patience = 30 * time.Second
 	// callLimit bounds one call of a caller.
 	callLimit = 20 * time.Second
+	// withinSeconds is the bound of what has to happen within seconds while
+	// all parts are reachable.
+	withinSeconds = 5 * time.Second
 
 	model   = "lm-desk"
 	service = "label-api"
@@ -263,6 +267,12 @@
 	return report
 }
 
+// platformFaults replaces what goes wrong at the platform.
+func (b *bench) platformFaults(f platformemulator.Faults) {
+	b.t.Helper()
+	assert.NilError(b.t, b.Platform.SetFaults(b.t.Context(), f))
+}
+
 func assertOK(t testing.TB, a answer) {
 	t.Helper()
 	assert.Equal(t, a.status, http.StatusOK, "%s", a.body)
--- a/internal/prover/configuration_test.go
+++ b/internal/prover/configuration_test.go
@@ -21,8 +21,6 @@
 )
 
 const (
-	// withinSeconds is the bound for an accepted release note.
-	withinSeconds = 5 * time.Second
 	// operators is the number of release notes that race.
 	operators = 8
 	// neverApplied delays the effect of a write beyond the end of the test.
@@ -86,11 +84,6 @@
 	return ids
 }
 
-func (b *bench) platformFaults(f platformemulator.Faults) {
-	b.t.Helper()
-	assert.NilError(b.t, b.Platform.SetFaults(b.t.Context(), f))
-}
-
 // assertConfirmed checks which instances an entry comes to name as confirmed.
 func (b *bench) assertConfirmed(t testing.TB, entry string, want map[string]bool) {
 	t.Helper()
--- a/internal/prover/key_test.go
+++ b/internal/prover/key_test.go
@@ -19,13 +19,8 @@
 	"github.com/quetzalhitch/quetzalhitch/pkg/declarer"
 )
 
-const (
-	// withinSeconds is the bound of what has to happen within seconds while
-	// all parts are reachable.
-	withinSeconds = 5 * time.Second
-	// endlessTokens make a stream that outlasts a test.
-	endlessTokens = 20000
-)
+// endlessTokens make a stream that outlasts a test.
+const endlessTokens = 20000
 
 func twoWorkspaces() []declarer.Workspace {
 	return []declarer.Workspace{
