fix: refusals inside and before the window apart in the slopes

Of one request a second of each workspace at a twentieth of its rate, about one in ten was refused or failed over 16 s, in the same part at 8, 64 and 250 workspaces. The count did not tell whether this is the start of the deployment or goes on.

--- a/cmd/measure/slopeload.go
+++ b/cmd/measure/slopeload.go
@@ -20,27 +20,28 @@
 // askPeriod is the time between two requests of one workspace.
 const askPeriod = time.Second
 
+// An askTally counts requests and those that were refused or failed.
+type askTally struct {
+	asked  atomic.Int64
+	failed atomic.Int64
+}
+
 // ask lets each workspace send a request in each period, to the entries in
-// turn, until ctx ends. It returns the number of requests that were not
-// answered.
-func ask(ctx context.Context, f *fleet) (failed int) {
+// turn, until ctx ends.
+func ask(ctx context.Context, f *fleet, t *askTally) {
 	var names []string
 	for name := range f.keys {
 		names = append(names, name)
 	}
 	slices.Sort(names)
-	var failures atomic.Int64
 	var group conc.WaitGroup
-	defer func() {
-		group.Wait()
-		failed = int(failures.Load())
-	}()
+	defer group.Wait()
 	ticker := time.NewTicker(askPeriod / time.Duration(len(names)))
 	defer ticker.Stop()
 	for n := 0; ; n++ {
 		select {
 		case <-ctx.Done():
-			return 0
+			return
 		case <-ticker.C:
 		}
 		// The entry changes with each period for each workspace.
@@ -48,8 +49,9 @@
 		url := fmt.Sprintf("http://%s/services/labels/labels/%d", entry.Addresses().HTTP, n)
 		key := f.keys[names[n%len(names)]]
 		group.Go(func() {
+			t.asked.Add(1)
 			if _, err := send(ctx, http.MethodGet, url, key, nil); err != nil && ctx.Err() == nil {
-				failures.Add(1)
+				t.failed.Add(1)
 			}
 		})
 	}
--- a/cmd/measure/slopes.go
+++ b/cmd/measure/slopes.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/sourcegraph/conc/pool"
 
 	"github.com/quetzalhitch/quetzalhitch/internal/measurer"
 	"github.com/quetzalhitch/quetzalhitch/internal/tester"
@@ -180,13 +181,17 @@
 	defer f.close()
 	loadCtx, stop := context.WithCancel(ctx)
 	defer stop()
-	asked := make(chan int, 1)
+	var tally askTally
 	if part == partActive {
-		go func() { asked <- ask(loadCtx, f) }()
+		load := pool.New()
+		defer load.Wait()
+		defer stop()
+		load.Go(func() { ask(loadCtx, f, &tally) })
 	}
 	if err := pause(ctx, c.Settle); err != nil {
 		return err
 	}
+	asked, failed := tally.asked.Load(), tally.failed.Load()
 	before, err := readSlopes(ctx, f)
 	if err != nil {
 		return err
@@ -209,8 +214,12 @@
 	}
 	c.report.add(part, "snapshot bytes", roleAll, against, float64(size), float64(snapshot))
 	if part == partActive {
-		stop()
-		c.report.add(part, "requests refused or failed", roleAll, against, float64(size), float64(<-asked))
+		// Those before the window show the first seconds after the start.
+		add := func(figure string, n int64) { c.report.add(part, figure, roleAll, against, float64(size), float64(n)) }
+		add("requests before the window", asked)
+		add("refused or failed before the window", failed)
+		add("requests in the window", tally.asked.Load()-asked)
+		add("refused or failed in the window", tally.failed.Load()-failed)
 	}
 	return nil
 }
