fix: the state of a job in the slopes

The status of a job is its manifest: state and counts. The command read a field that the entries do not send, so that each job was waited for up to its limit.

--- a/cmd/measure/slopeload.go
+++ b/cmd/measure/slopeload.go
@@ -14,6 +14,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/sourcegraph/conc"
 
+	"github.com/quetzalhitch/quetzalhitch/internal/batcher"
 	"github.com/quetzalhitch/quetzalhitch/internal/storer"
 )
 
@@ -124,7 +125,7 @@
 	if _, err := send(ctx, http.MethodPut, url+"?due-in=1h", f.keys[workspace], content); err != nil {
 		return err
 	}
-	completed, err := c.waitJob(ctx, url, f.keys[workspace], n)
+	completed, err := c.waitJob(ctx, url, f.keys[workspace])
 	if err != nil {
 		return err
 	}
@@ -140,29 +141,27 @@
 	return nil
 }
 
-// waitJob returns the number of completed items when all are, or at the
+// waitJob returns the number of items done when the job has ended, or at the
 // limit.
-func (c *slopesCmd) waitJob(ctx context.Context, url, key string, n int) (completed int, err error) {
+func (c *slopesCmd) waitJob(ctx context.Context, url, key string) (done int, err error) {
 	limit := time.Now().Add(c.JobLimit)
-	var status struct {
-		Completed int `json:"completed"`
-	}
+	var manifest batcher.Manifest
 	for time.Now().Before(limit) {
 		answer, err := send(ctx, http.MethodGet, url, key, nil)
 		if err != nil {
-			return status.Completed, err
+			return manifest.Counts.Done, err
 		}
-		if err := json.Unmarshal(answer, &status); err != nil {
+		if err := json.Unmarshal(answer, &manifest); err != nil {
 			return 0, err
 		}
-		if status.Completed == n {
+		if manifest.State != batcher.Running {
 			break
 		}
 		if err := pause(ctx, jobPoll); err != nil {
 			return 0, err
 		}
 	}
-	return status.Completed, nil
+	return manifest.Counts.Done, nil
 }
 
 // addJob adds the costs of a job. The status calls of waitJob are among the
