--- a/cmd/measure/slopeload.go
+++ b/cmd/measure/slopeload.go
@@ -145,23 +145,26 @@
 // limit.
 func (c *slopesCmd) waitJob(ctx context.Context, url, key string) (done int, err error) {
 	limit := time.Now().Add(c.JobLimit)
-	var manifest batcher.Manifest
+	var report struct {
+		State batcher.State `json:"state"`
+		Done  int           `json:"done"`
+	}
 	for time.Now().Before(limit) {
 		answer, err := send(ctx, http.MethodGet, url, key, nil)
 		if err != nil {
-			return manifest.Counts.Done, err
+			return report.Done, err
 		}
-		if err := json.Unmarshal(answer, &manifest); err != nil {
+		if err := json.Unmarshal(answer, &report); err != nil {
 			return 0, err
 		}
-		if manifest.State != batcher.Running {
+		if report.State != batcher.Running {
 			break
 		}
 		if err := pause(ctx, jobPoll); err != nil {
 			return 0, err
 		}
 	}
-	return manifest.Counts.Done, nil
+	return report.Done, nil
 }
 
 // addJob adds the costs of a job. The status calls of waitJob are among the
