--- a/cmd/measure/slopeload.go
+++ b/cmd/measure/slopeload.go
@@ -14,33 +14,35 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/sourcegraph/conc"
 
+	"github.com/quetzalhitch/quetzalhitch/internal/batcher"
 	"github.com/quetzalhitch/quetzalhitch/internal/storer"
 )
 
 // askPeriod is the time between two requests of one workspace.
 const askPeriod = time.Second
 
+// An askTally counts requests and those that were refused or failed.
+type askTally struct {
+	asked  atomic.Int64
+	failed atomic.Int64
+}
+
 // ask lets each workspace send a request in each period, to the entries in
-// turn, until ctx ends. It returns the number of requests that were not
-// answered.
-func ask(ctx context.Context, f *fleet) (failed int) {
+// turn, until ctx ends.
+func ask(ctx context.Context, f *fleet, t *askTally) {
 	var names []string
 	for name := range f.keys {
 		names = append(names, name)
 	}
 	slices.Sort(names)
-	var failures atomic.Int64
 	var group conc.WaitGroup
-	defer func() {
-		group.Wait()
-		failed = int(failures.Load())
-	}()
+	defer group.Wait()
 	ticker := time.NewTicker(askPeriod / time.Duration(len(names)))
 	defer ticker.Stop()
 	for n := 0; ; n++ {
 		select {
 		case <-ctx.Done():
-			return 0
+			return
 		case <-ticker.C:
 		}
 		// The entry changes with each period for each workspace.
@@ -48,8 +50,9 @@
 		url := fmt.Sprintf("http://%s/services/labels/labels/%d", entry.Addresses().HTTP, n)
 		key := f.keys[names[n%len(names)]]
 		group.Go(func() {
+			t.asked.Add(1)
 			if _, err := send(ctx, http.MethodGet, url, key, nil); err != nil && ctx.Err() == nil {
-				failures.Add(1)
+				t.failed.Add(1)
 			}
 		})
 	}
@@ -122,7 +125,7 @@
 	if _, err := send(ctx, http.MethodPut, url+"?due-in=1h", f.keys[workspace], content); err != nil {
 		return err
 	}
-	completed, err := c.waitJob(ctx, url, f.keys[workspace], n)
+	completed, err := c.waitJob(ctx, url, f.keys[workspace])
 	if err != nil {
 		return err
 	}
@@ -138,29 +141,30 @@
 	return nil
 }
 
-// waitJob returns the number of completed items when all are, or at the
+// waitJob returns the number of items done when the job has ended, or at the
 // limit.
-func (c *slopesCmd) waitJob(ctx context.Context, url, key string, n int) (completed int, err error) {
+func (c *slopesCmd) waitJob(ctx context.Context, url, key string) (done int, err error) {
 	limit := time.Now().Add(c.JobLimit)
-	var status struct {
-		Completed int `json:"completed"`
+	var report struct {
+		State batcher.State `json:"state"`
+		Done  int           `json:"done"`
 	}
 	for time.Now().Before(limit) {
 		answer, err := send(ctx, http.MethodGet, url, key, nil)
 		if err != nil {
-			return status.Completed, err
+			return report.Done, err
 		}
-		if err := json.Unmarshal(answer, &status); err != nil {
+		if err := json.Unmarshal(answer, &report); err != nil {
 			return 0, err
 		}
-		if status.Completed == n {
+		if report.State != batcher.Running {
 			break
 		}
 		if err := pause(ctx, jobPoll); err != nil {
 			return 0, err
 		}
 	}
-	return status.Completed, nil
+	return report.Done, nil
 }
 
 // addJob adds the costs of a job. The status calls of waitJob are among the
