feat: shortfall of requests inside the rate

The system had answered other requests of the same workspace than those that the tool counts as inside. The strict count stays; the shortfall stands beside it.

--- a/internal/measurer/counts_test.go
+++ b/internal/measurer/counts_test.go
@@ -7,6 +7,18 @@
 	"gotest.tools/v3/assert"
 )
 
+// Guards against taking the choice of which request is refused for a loss, and
+// against one workspace's excess hiding another one's loss.
+func TestShortfall(t *testing.T) {
+	r := newRefusals([]WorkspaceResult{
+		{AskedInside: 10, RefusedInside: 3, Answered: 10},
+		{AskedInside: 10, RefusedInside: 2, Answered: 8},
+		{AskedInside: 10, Answered: 14},
+	})
+	assert.Equal(t, r.RefusedInside, 5)
+	assert.Equal(t, r.Shortfall, 2)
+}
+
 // Guards against counting refused tries as work done, and against a counter
 // that an entry which started again has lowered.
 func TestBatchCounts(t *testing.T) {
--- a/internal/measurer/result.go
+++ b/internal/measurer/result.go
@@ -98,6 +98,11 @@
 	AskedInside   int     `json:"asked-inside"`
 	RefusedInside int     `json:"refused-inside"`
 	PerHundred    float64 `json:"per-hundred"`
+	// Shortfall is the number of requests inside a workspace's rate beyond
+	// those answered. RefusedInside counts single requests; of a workspace that
+	// sends more than its rate, the system may rightly answer another request
+	// than the one that the tool counts as inside.
+	Shortfall int `json:"shortfall"`
 }
 
 // A ToolResult says whether the load tool itself kept up.
@@ -214,6 +219,7 @@
 	for _, w := range workspaces {
 		r.AskedInside += w.AskedInside
 		r.RefusedInside += w.RefusedInside
+		r.Shortfall += max(0, w.AskedInside-w.Answered)
 	}
 	r.PerHundred = 100 * float64(r.RefusedInside) / float64(max(1, r.AskedInside))
 	return r
--- a/internal/measurer/table.go
+++ b/internal/measurer/table.go
@@ -52,6 +52,7 @@
 		r.Fairness.Worst, r.Fairness.WorstShare, r.Fairness.AgainstMean)
 	fmt.Fprintf(w, "refused inside the rate: %d of %d, %.3f in 100\n",
 		r.Refusals.RefusedInside, r.Refusals.AskedInside, r.Refusals.PerHundred)
+	fmt.Fprintf(w, "answered fewer than inside the rate: %d of %d\n", r.Refusals.Shortfall, r.Refusals.AskedInside)
 	if r.Tool.Unsent > 0 {
 		fmt.Fprintf(w, "VOID: the load tool did not send %d requests\n", r.Tool.Unsent)
 	}
