test: batch jobs under lost answers and an outage of the platform

Counts the answers that the platform's stand-in has lost, so that the test fails when the fault does not hit claims and commits.

--- a/internal/prover/batchfault_test.go
+++ b/internal/prover/batchfault_test.go
@@ -17,6 +17,31 @@
 	"github.com/quetzalhitch/quetzalhitch/internal/tester"
 )
 
+// manyWrites is more than a small job makes, so that all its answers are lost.
+const manyWrites = 100
+
+// leastLost is the number of writes that a job of two chunks makes at least,
+// by kind of record.
+var leastLost = map[string]int{
+	"open":   2, // Made and removed.
+	"jobs":   2, // Made and folded.
+	"chunks": 4, // Two claims and two commits.
+}
+
+// lostAnswers is the number of answers that the platform has lost.
+func (b *bench) lostAnswers() (n int) {
+	b.t.Helper()
+	response, err := freshClient.Get("http://" + b.Platform.Addresses().Control + platformemulator.PathFault)
+	assert.NilError(b.t, err)
+	defer func() { _ = response.Body.Close() }()
+	var present platformemulator.Faults
+	assert.NilError(b.t, json.NewDecoder(response.Body).Decode(&present))
+	for _, lost := range present.LoseAnswers {
+		n += manyWrites - lost.Writes
+	}
+	return n
+}
+
 // Guards against a write of the platform that is made twice, or taken for
 // failed, because its answer was lost after it took effect.
 func TestLostAnswersOfThePlatform(t *testing.T) {
@@ -24,17 +49,16 @@
 	key := b.keys["packing"]
 	const items = 130
 	prefixes := map[string]string{
-		"of the index entry": "batch/open/",
-		"of the manifest":    "batch/jobs/",
-		"of claims, commits": "batch/chunks/",
+		"open":   "of the index entry",
+		"jobs":   "of the manifest",
+		"chunks": "of claims and commits",
 	}
-	for name, prefix := range prefixes {
+	for kind, name := range prefixes {
 		t.Run(name, func(t *testing.T) {
-			job := "lost-" + strings.Split(prefix, "/")[1]
+			job := "lost-" + kind
 			content := batchItems(job, items, 5)
-			b.platformFaults(platformemulator.Faults{LoseAnswers: []platformemulator.LostAnswer{
-				{KeyPrefix: prefix, Writes: 4},
-			}})
+			lost := platformemulator.LostAnswer{KeyPrefix: "batch/" + kind + "/", Writes: manyWrites}
+			b.platformFaults(platformemulator.Faults{LoseAnswers: []platformemulator.LostAnswer{lost}})
 			// A caller whose submission is in doubt sends it again.
 			tester.Eventually(t, patience, "the job is accepted", func() error {
 				a, err := b.call("entry-a1", submit(key, job, content))
@@ -46,6 +70,7 @@
 			b.awaitJobWithin(takeover, "entry-b1", key, job, "completed")
 			assertResults(t, b.results("entry-b1", key, job), job, items)
 			assert.Equal(t, b.dispatched(job), items, "items ran again")
+			assert.Assert(t, b.lostAnswers() >= leastLost[kind], "%d answers were lost", b.lostAnswers())
 		})
 	}
 }
@@ -83,7 +108,7 @@
 func TestPlatformDownDuringAJob(t *testing.T) {
 	b := startBench(t, benchConfig{})
 	key := b.keys["packing"]
-	const items = 600
+	const items = 1500
 	assertOK(t, b.mustCall("entry-a1", submit(key, "outage", batchItems("outage", items, 25))))
 	b.awaitStarted("outage", 30)
 	b.platformFaults(platformemulator.Faults{Outage: platformemulator.OutageDrop})
@@ -94,6 +119,7 @@
 		}
 		return nil
 	})
+	assert.Assert(t, b.dispatched("outage") < items, "no chunk was left to claim after the outage")
 	a := b.mustCall("entry-a1", submit(key, "refused", batchItems("refused", 1, 1)))
 	assertRefused(t, a, "platform-unavailable", "not-run")
 	b.platformFaults(platformemulator.Faults{})
--- a/internal/prover/cancel_test.go
+++ b/internal/prover/cancel_test.go
@@ -19,8 +19,11 @@
 func TestCancelledJobStops(t *testing.T) {
 	b := startBench(t, benchConfig{})
 	key := b.keys["packing"]
-	const items = 2000
-	assertOK(t, b.mustCall("entry-a1", submit(key, "stop", batchItems("stop", items, 25))))
+	const items = 900
+	// The quick first chunk has results soon; the chunks in hand after it take
+	// longer than the bound, so that only the cancellation ends them in time.
+	content := batchItems("stop", 100, 2) + batchItems("stop-late", items, 100)
+	assertOK(t, b.mustCall("entry-a1", submit(key, "stop", content)))
 	tester.Eventually(t, patience, "a chunk has results", func() error {
 		if lines := strings.Count(b.results("entry-b1", key, "stop").body, "\n"); lines == 0 {
 			return merry.New("no results")
@@ -39,10 +42,10 @@
 		return nil
 	})
 	t.Run("no item starts after the bound", func(t *testing.T) {
-		stopped := b.dispatched("stop")
+		stopped := b.dispatched("stop-late")
 		assert.Assert(t, stopped < items, "all items were dispatched before the cancellation")
 		tester.Always(t, 3*time.Second, "no item reaches an engine", func() error {
-			if now := b.dispatched("stop"); now != stopped {
+			if now := b.dispatched("stop-late"); now != stopped {
 				return merry.Errorf("%d items after %d", now, stopped)
 			}
 			return nil
