--- a/internal/prover/cancel_test.go
+++ b/internal/prover/cancel_test.go
@@ -8,6 +8,7 @@
 	"github.com/ansel1/merry/v2"
 	"gotest.tools/v3/assert"
 
+	"github.com/quetzalhitch/quetzalhitch/internal/emulator/engineemulator"
 	"github.com/quetzalhitch/quetzalhitch/internal/tester"
 )
 
@@ -19,11 +20,8 @@
 func TestCancelledJobStops(t *testing.T) {
 	b := startBench(t, benchConfig{})
 	key := b.keys["packing"]
-	const items = 300
-	// The quick first chunk has results soon; a chunk after it takes
-	// longer than the bound, so that only the cancellation ends them in time.
-	content := batchItems("stop", 100, 2) + batchItems("stop-late", items, 1500)
-	assertOK(t, b.mustCall("entry-a1", submit(key, "stop", content)))
+	const items = 2000
+	assertOK(t, b.mustCall("entry-a1", submit(key, "stop", batchItems("stop", items, 25))))
 	tester.Eventually(t, patience, "a chunk has results", func() error {
 		if lines := strings.Count(b.results("entry-b1", key, "stop").body, "\n"); lines == 0 {
 			return merry.New("no results")
@@ -33,6 +31,9 @@
 	before := b.results("entry-b1", key, "stop").body
 	assert.Assert(t, b.holds("entry-a1", "stop"), "entry-a1 runs no chunk of the job")
 
+	// The chunks in hand would take longer than the bound from here on, so that
+	// only the cancellation ends them in time.
+	b.engineFault(engineemulator.Fault{Only: "stop-item", DelayMillis: 1500})
 	assertOK(t, b.mustCall("entry-b1", request{path: "/v1/batches/stop/cancel", key: key}))
 	bound := time.Now().Add(cancelBound)
 	tester.Eventually(t, patience, "the bound has passed", func() error {
@@ -42,10 +43,10 @@
 		return nil
 	})
 	t.Run("no item starts after the bound", func(t *testing.T) {
-		stopped := b.dispatched("stop-late")
+		stopped := b.dispatched("stop")
 		assert.Assert(t, stopped < items, "all items were dispatched before the cancellation")
 		tester.Always(t, 4*time.Second, "no item reaches an engine", func() error {
-			if now := b.dispatched("stop-late"); now != stopped {
+			if now := b.dispatched("stop"); now != stopped {
 				return merry.Errorf("%d items after %d", now, stopped)
 			}
 			return nil
