--- a/internal/prover/placement_test.go
+++ b/internal/prover/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"slices"
 	"testing"
@@ -99,8 +100,13 @@
 			}
 		}
 	}})
-	former := b.holder(placementLease)
-	assert.Assert(t, former != "")
+	former := ""
+	tester.Eventually(t, patience, "a holder of the placement lease", func() error {
+		if former = b.holder(placementLease); former == "" {
+			return errors.New("no holder")
+		}
+		return nil
+	})
 	other := b.otherEntry(former)
 	b.apply(other, versionNote("2"))
 	b.awaitOrder("2")
