fix: reserved ports that are in use for a moment

A relay closes its listener and opens it again on the same port. A child process between fork and exec still holds the former listener, and the kernel lets the parent of a vfork run on before it closes the child's descriptors, so holding syscall.ForkLock does not help (tried; it failed again). A port in use is now tried again for up to 5 s.

--- a/internal/tester/port.go
+++ b/internal/tester/port.go
@@ -1,9 +1,11 @@
 package tester
 
 import (
+	"errors"
 	"net/netip"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 )
@@ -64,3 +66,25 @@
 func (p *ReservedPort) Release() {
 	p.release.Do(func() { _ = syscall.Close(p.descriptor) })
 }
+
+const (
+	// execLimit bounds the wait for child processes to call exec.
+	execLimit = 5 * time.Second
+	// execPoll is the interval at which a port in use is tried again.
+	execPoll = time.Millisecond
+)
+
+// listenAgain opens a listener on a reserved port that had one before. A child
+// process between fork and exec still holds the former listener, and with it
+// the port: the kernel lets the parent run on before it closes the
+// descriptors of the child. So a port in use is tried again.
+func listenAgain(listen func() error) (err error) {
+	ticker := time.NewTicker(execPoll)
+	defer ticker.Stop()
+	for limit := time.Now().Add(execLimit); ; <-ticker.C {
+		err = listen()
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(limit) {
+			return err
+		}
+	}
+}
--- a/internal/tester/sourcerouter.go
+++ b/internal/tester/sourcerouter.go
@@ -69,7 +69,11 @@
 		return net.ErrClosed
 	}
 	var lc net.ListenConfig
-	if r.listener, err = lc.Listen(ctx, "tcp", r.Address); err != nil {
+	err = listenAgain(func() (err error) {
+		r.listener, err = lc.Listen(ctx, "tcp", r.Address)
+		return err
+	})
+	if err != nil {
 		return err
 	}
 	listener := r.listener
--- a/internal/tester/tcprelay.go
+++ b/internal/tester/tcprelay.go
@@ -197,7 +197,8 @@
 		return merry.Errorf("TCP relay %s is closed", r.Name)
 	}
 	next := &toxiproxy.Proxy{Listen: r.Address, Upstream: target, Enabled: enabled}
-	return merry.Prependf(r.proxy.Update(next), "update TCP relay %s", r.Name)
+	err = listenAgain(func() error { return r.proxy.Update(next) })
+	return merry.Prependf(err, "update TCP relay %s", r.Name)
 }
 
 // Silence makes the present connections silent for good: no data and no end
