fix: batch yields to online streams that arrive at several entries

Streams that arrive at two entries between two heartbeats find room at each of them, and together exceed the engine's capacity.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -123,6 +123,20 @@
 	d.instruments.countYields(yielded)
 }
 
+// YieldExcess ends batch items of this entry on an engine whose load, with what
+// peers now report, exceeds its capacity. Online requests that arrive at
+// several entries between two reports find room each, and together none.
+func (d *Dispatcher) YieldExcess(server string) {
+	s, ok := d.cfg.Fleet.Server(server)
+	if !ok {
+		return
+	}
+	if excess := s.Load().Excess(); excess > 0 {
+		yielded, _ := d.displacer.displace(server, excess)
+		d.instruments.countYields(yielded)
+	}
+}
+
 // makeRoom ends batch items on a server whose load exceeds its capacity, and
 // tells the peers if those of this entry are not enough.
 func (d *Dispatcher) makeRoom(s *registrar.Server) {
--- a/internal/prover/key_test.go
+++ b/internal/prover/key_test.go
@@ -20,9 +20,9 @@
 )
 
 const (
-	// withinSeconds is the bound of what has to happen within seconds while
+	// promptly is the bound of what has to happen within seconds while
 	// all parts are reachable.
-	withinSeconds = 5 * time.Second
+	promptly = 5 * time.Second
 	// endlessTokens make a stream that outlasts a test.
 	endlessTokens = 20000
 )
@@ -179,7 +179,7 @@
 		t.Run("running stream at "+e.ID, func(t *testing.T) {
 			body := streams[e.ID].awaitEnd(t)
 			took := time.Since(start)
-			assert.Assert(t, took <= withinSeconds, "ended after %s", took)
+			assert.Assert(t, took <= promptly, "ended after %s", took)
 			assert.Assert(t, strings.Contains(body, "event: error\n") && strings.Contains(body, "key-withdrawn"), "%s", body)
 			assert.Assert(t, !strings.Contains(body, "[DONE]"))
 			t.Logf("ended after %s", took)
@@ -193,7 +193,7 @@
 				return err
 			})
 			took := time.Since(start)
-			assert.Assert(t, took <= withinSeconds, "refused after %s", took)
+			assert.Assert(t, took <= promptly, "refused after %s", took)
 		})
 		t.Run("another key's stream at "+e.ID, func(t *testing.T) {
 			assert.Assert(t, others[e.ID].running(), "%s", others[e.ID].text())
--- a/internal/prover/leaving_test.go
+++ b/internal/prover/leaving_test.go
@@ -47,7 +47,7 @@
 	b.listLeaving("engine-a1")
 	b.listLeaving("service-a")
 	b.fault("engine-b1", engineemulator.Fault{Leaving: true})
-	quiet := time.Now().Add(withinSeconds)
+	quiet := time.Now().Add(promptly)
 
 	tester.Eventually(t, patience, "work goes on elsewhere", func() error {
 		for _, server := range []string{"engine-a2", "engine-b2", "service-b"} {
@@ -61,7 +61,7 @@
 		t.Run(server, func(t *testing.T) {
 			last := b.lastReceived(server)
 			assert.Assert(t, !last.After(quiet), "got work %s too late", last.Sub(quiet))
-			t.Logf("last work %s after the notice", last.Sub(quiet)+withinSeconds)
+			t.Logf("last work %s after the notice", last.Sub(quiet)+promptly)
 		})
 	}
 }
--- a/internal/runner/adapters.go
+++ b/internal/runner/adapters.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/url"
 	"strings"
+	"time"
 
 	"github.com/quetzalhitch/quetzalhitch/internal/acceptor"
 	"github.com/quetzalhitch/quetzalhitch/internal/authenticator"
@@ -37,6 +38,21 @@
 	return a.borrower.AcquirePermit(server)
 }
 
+// sharedLoads are the loads of the fleet. A report of a peer can show that
+// batch items have to yield.
+type sharedLoads struct {
+	*registrar.Fleet
+	parts *parts // The dispatcher is made after the heartbeater.
+}
+
+// SetPeerLoads takes over the report of a peer.
+func (l *sharedLoads) SetPeerLoads(instance string, loads []registrar.PeerLoad, expires time.Time) {
+	l.Fleet.SetPeerLoads(instance, loads, expires)
+	for _, load := range loads {
+		l.parts.dispatcher.YieldExcess(load.Server)
+	}
+}
+
 // An intentDesk lets the dispatcher record intents.
 type intentDesk struct {
 	recorder *recorder.Recorder
--- a/internal/runner/assemble.go
+++ b/internal/runner/assemble.go
@@ -170,7 +170,7 @@
 		Roster:    p.roster,
 		Links:     p.links,
 		Lister:    &instanceLister{store: p.store, fleet: p.fleet},
-		Loads:     p.fleet,
+		Loads:     &sharedLoads{Fleet: p.fleet, parts: p},
 		Revisions: p.configuration,
 		Lendings:  p.leaser,
 	})
