fix: quarantines are recorded in the platform

An entry that started after a quarantine ran the request again and lost two more engines (TestCrashingRequestIsQuarantined): quarantines were spread by link only. The entry that sees the second death now writes quarantine/<digest> under a lease that ends with the quarantine, and each entry reads them at its start.

--- a/internal/runner/assemble.go
+++ b/internal/runner/assemble.go
@@ -44,6 +44,7 @@
 	sender        *sender.Sender
 	prober        *sender.Prober
 	retrier       *retrier.Retrier
+	quarantine    *quarantineKeeper
 	recorder      *recorder.Recorder
 	dispatcher    *dispatcher.Dispatcher
 	folder        *archiver.Folder // Nil without a disk.
@@ -65,6 +66,7 @@
 		{name: "prober", starter: p.prober},
 		{name: "recorder", starter: p.recorder},
 		{name: "spreader", starter: p.spreader},
+		{name: "quarantine", starter: p.quarantine},
 	}
 	if p.keeper != nil {
 		list = append(list, part{name: "keeper", starter: p.keeper})
@@ -224,7 +226,9 @@
 		Sender: p.sender,
 		Clock:  e.options.Clock,
 	})
-	p.retrier = retrier.New(retrier.Config{Clock: e.options.Clock, Announcer: p.spreader})
+	p.quarantine = newQuarantineKeeper(p.store, e.options.Clock, e.options.Logger)
+	p.retrier = retrier.New(retrier.Config{Clock: e.options.Clock, Announcer: announcers{p.spreader, p.quarantine}})
+	p.quarantine.retrier = p.retrier
 	p.recorder = recorder.New(e.settings.InstanceID, e.options.Clock.Now().UnixNano(), p.store, e.options.Clock)
 
 	gate := &admission{borrower: p.leaser.Borrower()}
