--- a/internal/dispatcher/item_test.go
+++ b/internal/dispatcher/item_test.go
@@ -135,6 +135,19 @@
 		end3()
 	})
 
+	// Guards against items that stay on an engine to which several entries sent
+	// online work between two reports.
+	t.Run("items yield to online work that a peer reports", func(t *testing.T) {
+		r := newRig(t, 1, 0)
+		runs := r.startItems(t, 3)
+		online := []registrar.PeerLoad{{Server: "engine-0", Online: 2}}
+		r.fleet.SetPeerLoads("entry-2", online, time.Now().Add(time.Hour))
+		r.YieldExcess("engine-0")
+		assertYielded(t, runs[2])
+		assert.Assert(t, !runs[0].ended() && !runs[1].ended(), "more items yielded than had to")
+		r.displacer.displaceAll("engine-0")
+	})
+
 	// Guards against an item that is counted just before an online request comes
 	// and registered just after it, so that the request does not find it.
 	t.Run("an item that was not registered yet yields too", func(t *testing.T) {
