--- a/internal/prover/outcome_test.go
+++ b/internal/prover/outcome_test.go
@@ -103,18 +103,20 @@
 	gone = append(gone, b.killInAnswer("engine-a2")...)
 	wait.Wait()
 
-	var whole, failed int
+	var whole int
+	failed := map[string]int{} // By code and outcome.
 	received := append(gone, b.receivedBy("engine-a1", "engine-a2", "engine-b1", "engine-b2")...)
 	for _, x := range l.exchanges {
 		if assertOwnAnswer(t, x, received) {
 			whole++
 		} else {
-			failed++
+			r := errorOf(x.answer).Error
+			failed[r.Code+" "+r.Outcome]++
 		}
 	}
-	t.Logf("%d whole answers, %d errors", whole, failed)
+	t.Logf("%d whole answers, errors: %v", whole, failed)
 	assert.Assert(t, whole > callers*callsEach/2, "only %d whole answers", whole)
-	assert.Assert(t, failed > 0, "the faults hit no call")
+	assert.Assert(t, len(failed) > 0, "the faults hit no call")
 }
 
 var markers = regexp.MustCompile(`own-\d+-\d+-end`)
@@ -127,8 +129,7 @@
 	for _, marker := range markers.FindAllString(x.answer.body, -1) {
 		assert.Equal(t, marker, x.marker, "the answer of another request")
 	}
-	event, isEvent := strings.CutPrefix(x.answer.body[max(strings.Index(x.answer.body, "event: error\ndata: "), 0):], "event: error\ndata: ")
-	if x.answer.status == http.StatusOK && !isEvent {
+	if x.answer.status == http.StatusOK && !strings.Contains(x.answer.body, errorEvent) {
 		for i := range streamTokens {
 			token := fmt.Sprintf("%s-%d ", x.marker, i)
 			assert.Equal(t, strings.Count(x.answer.body, token), 1, "token %q of %s", token, x.answer.body)
@@ -139,14 +140,21 @@
 		return true
 	}
 	assert.Assert(t, !strings.Contains(x.answer.body, "[DONE]"), "an error and an end: %s", x.answer.body)
-	r := x.answer.refusal()
-	if isEvent {
-		r = answer{body: event}.refusal()
-	}
-	assertOutcome(t, r, x.marker, received)
+	assertOutcome(t, errorOf(x.answer), x.marker, received)
 	return false
 }
 
+// errorEvent begins the last event of a stream that was cut.
+const errorEvent = "event: error\ndata: "
+
+// errorOf is the refusal that an answer is, or that ends its stream.
+func errorOf(a answer) refusal {
+	if _, event, ok := strings.Cut(a.body, errorEvent); ok {
+		return answer{body: event}.refusal()
+	}
+	return a.refusal()
+}
+
 // assertOutcome checks that an error names an outcome and that not-run is true.
 func assertOutcome(t testing.TB, r refusal, marker string, received []emulator.Received) {
 	t.Helper()
