--- a/internal/prover/configuration_test.go
+++ b/internal/prover/configuration_test.go
@@ -82,18 +82,8 @@
 	return ids
 }
 
-<<<<<<< HEAD
-// assertConfirmed checks which instances an entry comes to name as confirmed.
-func (b *bench) assertConfirmed(t testing.TB, entry string, want map[string]bool) {
-=======
-func (b *bench) platformFaults(f platformemulator.Faults) {
-	b.t.Helper()
-	assert.NilError(b.t, b.Platform.SetFaults(b.t.Context(), f))
-}
-
 // assertConfirmed checks which instances entry-a1 comes to name as confirmed.
 func (b *bench) assertConfirmed(t testing.TB, want map[string]bool) {
->>>>>>> proofcontrol
 	t.Helper()
 	tester.Eventually(t, inForceLimit, "confirmations", func() error {
 		a, err := b.status("entry-a1")
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strings"
 	"time"
 
@@ -60,6 +61,8 @@
 type Quarantiner struct {
 	cfg   Config
 	queue chan string // Digests to record.
+
+	pending []string // Digests that the platform has not taken yet; used by Start's goroutine only.
 }
 
 // New returns a Quarantiner.
@@ -99,21 +102,28 @@
 		case <-ctx.Done():
 			return
 		case digest := <-q.queue:
-			q.record(ctx, digest)
+			q.pending = append(q.pending, digest)
+			q.record(ctx)
 		case <-ticker.Chan():
+			q.record(ctx)
 			q.learn(ctx)
 		}
 	}
 }
 
-// record writes a quarantine. One that is there already is as good.
-func (q *Quarantiner) record(ctx context.Context, digest string) {
+// record writes the pending quarantines. One that is there already is as good;
+// one that the platform did not take is tried again.
+func (q *Quarantiner) record(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	err := q.put(ctx, digest)
-	if err != nil && !errors.Is(err, storer.ErrConflict) {
+	q.pending = slices.DeleteFunc(q.pending, func(digest string) bool {
+		err := q.put(ctx, digest)
+		if err == nil || errors.Is(err, storer.ErrConflict) {
+			return true
+		}
 		q.cfg.Logger.WithError(err).Warn("quarantine not recorded in the platform")
-	}
+		return false
+	})
 }
 
 func (q *Quarantiner) put(ctx context.Context, digest string) (err error) {
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -34,7 +34,8 @@
 	})
 	t.Run("two deaths are", func(t *testing.T) {
 		first.Observe(retrier.Notice{Digest: "d", Deaths: retrier.DeathsToQuarantine})
-		first.record(t.Context(), <-first.queue)
+		first.pending = append(first.pending, <-first.queue)
+		first.record(t.Context())
 		second.learn(t.Context())
 		assert.Assert(t, learned.Suspicion("d").Quarantined)
 		assert.Assert(t, !learned.Suspicion("other").Quarantined)
