fix: a racing apply is not refused because of a newer own revision

Cause: readBase compared the head that it had read with the revision in force after the read. A revision that the watch installed in between made the head look behind, and the note was refused although the platform was not behind. Change: the revision to compare with is taken before the read.

--- a/internal/publisher/apply.go
+++ b/internal/publisher/apply.go
@@ -130,9 +130,11 @@
 
 // readBase reads the head and its snapshot.
 func (p *Publisher) readBase(ctx context.Context) (b *base, err error) {
+	// Taken before the read: the watch may bring a newer revision meanwhile.
+	floor := p.revision()
 	entry, err := p.cfg.Store.Get(ctx, headKey)
 	if errors.Is(err, storer.ErrNotFound) {
-		if p.revision() > 0 {
+		if floor > 0 {
 			return nil, ErrHeadBehind
 		}
 		return &base{}, nil
@@ -144,7 +146,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if h.Revision < p.revision() {
+	if h.Revision < floor {
 		return nil, ErrHeadBehind
 	}
 	r, err := p.fetch(ctx, h.Snapshot)
