--- a/internal/prover/batchfault_test.go
+++ b/internal/prover/batchfault_test.go
@@ -17,7 +17,6 @@
 	"github.com/quetzalhitch/quetzalhitch/internal/tester"
 )
 
-
 // leastLost is the number of writes that a job of two chunks makes at least,
 // by kind of record.
 var leastLost = map[string]int{
