feat: peers learn of freed room before the next heartbeat

Cause: batch took idle capacity back after 0.7 s to 1.8 s against a bound of 1 s, because peers counted ended online streams until the next heartbeat, up to 0.5 s later. The lanes' growth was ruled out: they double each 50 ms.

--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -62,7 +62,7 @@
 	s := decision.Server
 	s.Begin(registrar.Online)
 	r.d.makeRoom(s)
-	return taken{server: s, decision: decision, release: func() { s.End(registrar.Online) }}
+	return taken{server: s, decision: decision, release: func() { r.d.endOnline(s) }}
 }
 
 // choose prefers servers that were not tried. Where all were, one that still
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -98,6 +98,10 @@
 	// OnYield is called when online work needs more of an engine than the batch
 	// items of this entry give free. It must return at once.
 	OnYield func(server string)
+	// OnRoom is called when an online request leaves a server that was full,
+	// so that peers learn of the room before the next heartbeat. It must
+	// return at once. Nil where nobody is to be told.
+	OnRoom func()
 }
 
 // A Dispatcher runs requests and batch items on backend servers.
@@ -158,6 +162,14 @@
 	}
 }
 
+// endOnline takes an online request off a server.
+func (d *Dispatcher) endOnline(s *registrar.Server) {
+	load := s.End(registrar.Online)
+	if load.Total()+1 >= load.Capacity && d.cfg.OnRoom != nil {
+		d.cfg.OnRoom()
+	}
+}
+
 // makeRoom ends batch items on a server whose load exceeds its capacity, and
 // tells the peers if those of this entry are not enough.
 func (d *Dispatcher) makeRoom(s *registrar.Server) {
--- a/internal/registrar/server.go
+++ b/internal/registrar/server.go
@@ -89,11 +89,13 @@
 	return true
 }
 
-// End takes back what Begin or TryBeginBatch counted.
-func (s *Server) End(class Class) {
+// End takes back what Begin or TryBeginBatch counted, and returns the load
+// without it.
+func (s *Server) End(class Class) Load {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.addLocal(class, -1)
+	return s.load()
 }
 
 func (s *Server) addLocal(class Class, n int) {
