--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -17,6 +17,8 @@
 	exitUsage   = 2
 	exitPending = 3 // Accepted, but not confirmed by every instance in time.
 	exitInDoubt = 4 // It is unknown whether the change was accepted.
+
+	exitIncomplete = 5 // A job that was waited for did not do all its items.
 )
 
 // Args are the command line arguments of the binary.
@@ -25,6 +27,7 @@
 	Check   *CheckCmd   `arg:"subcommand:check" help:"report the faults of settings, declarations and release notes"`
 	Dev     *DevCmd     `arg:"subcommand:dev" help:"run two entries and example backend servers in this process"`
 	Entry   *EntryCmd   `arg:"subcommand:entry" help:"run an entry instance"`
+	Job     *JobCmd     `arg:"subcommand:job" help:"submit, follow and cancel batch jobs"`
 	Key     *KeyCmd     `arg:"subcommand:key" help:"grant and withdraw keys of workspaces"`
 	Status  *StatusCmd  `arg:"subcommand:status" help:"show the configuration in force and where it is confirmed"`
 	Version *VersionCmd `arg:"subcommand:version" help:"print the version"`
--- a/internal/dispatcher/item_test.go
+++ b/internal/dispatcher/item_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/quetzalhitch/quetzalhitch/internal/emulator/engineemulator"
+	"github.com/quetzalhitch/quetzalhitch/internal/registrar"
 	"github.com/quetzalhitch/quetzalhitch/pkg/refuser"
 )
 
@@ -134,6 +135,50 @@
 		end3()
 	})
 
+	// Guards against a baseline that still yields, which would make yielding
+	// look useless in comparisons.
+	t.Run("the no-yield baseline keeps items", func(t *testing.T) {
+		r := newRig(t, 1, 0)
+		r.cfg.RoomMaker = NoYield{}
+		runs := r.startItems(t, 3)
+		end, end2 := r.startStream(t, 1), r.startStream(t, 2)
+		r.Yield("engine-0")
+		assert.Assert(t, !runs[0].ended() && !runs[1].ended() && !runs[2].ended())
+		assert.Equal(t, len(r.yields), 0)
+		end()
+		end2()
+		r.displacer.displaceAll("engine-0")
+	})
+
+	// Guards against items that stay on an engine to which several entries sent
+	// online work between two reports.
+	t.Run("items yield to online work that a peer reports", func(t *testing.T) {
+		r := newRig(t, 1, 0)
+		runs := r.startItems(t, 3)
+		online := []registrar.PeerLoad{{Server: "engine-0", Online: 2}}
+		r.fleet.SetPeerLoads("entry-2", online, time.Now().Add(time.Hour))
+		r.YieldExcess("engine-0")
+		assertYielded(t, runs[2])
+		assert.Assert(t, !runs[0].ended() && !runs[1].ended(), "more items yielded than had to")
+		r.displacer.displaceAll("engine-0")
+	})
+
+	// Guards against an item that is counted just before an online request comes
+	// and registered just after it, so that the request does not find it.
+	t.Run("an item that was not registered yet yields too", func(t *testing.T) {
+		r := newRig(t, 1, 0)
+		pool, _ := r.fleet.Pool("model/desk")
+		s := &seat{}
+		assert.NilError(t, r.seatAmong(item("marker:b-1", 10), pool, s))
+		for range 4 {
+			s.server.Begin(registrar.Online)
+		}
+		ctx, cancel := context.WithCancelCause(context.Background())
+		r.displacer.add("engine-0", cancel)
+		r.recheck(s, cancel)
+		assert.ErrorIs(t, context.Cause(ctx), ErrYielded)
+	})
+
 	// Guards against items that run on after their permit went to another entry.
 	t.Run("an expired permit ends the item", func(t *testing.T) {
 		r := newRig(t, 1, 0)
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -115,8 +115,15 @@
 	return s
 }
 
+// A reply is what came back; its body is closed with the test.
+type reply struct {
+	StatusCode int
+	Header     http.Header
+	Body       io.ReadCloser
+}
+
 // send makes a request with the good key.
-func (s *site) send(t *testing.T, method, path string, body io.Reader) *http.Response {
+func (s *site) send(t *testing.T, method, path string, body io.Reader) reply {
 	t.Helper()
 	r, err := http.NewRequestWithContext(t.Context(), method, s.url+path, body)
 	assert.NilError(t, err)
@@ -124,17 +131,17 @@
 	response, err := http.DefaultClient.Do(r)
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = response.Body.Close() })
-	return response
+	return reply{StatusCode: response.StatusCode, Header: response.Header, Body: response.Body}
 }
 
 // assertRefused checks a refusal and its JSON.
-func assertRefused(t *testing.T, response *http.Response, status int, code refuser.Code, outcome refuser.Outcome) {
+func assertRefused(t *testing.T, response reply, status int, code refuser.Code, outcome refuser.Outcome) {
 	t.Helper()
 	assert.Equal(t, response.StatusCode, status)
-	var body RefusalBody
+	var body refuser.Refusal
 	assert.NilError(t, json.NewDecoder(response.Body).Decode(&body))
-	assert.Equal(t, body.Error.Code, code)
-	assert.Equal(t, body.Error.Outcome, outcome)
+	assert.Equal(t, body.Code, code)
+	assert.Equal(t, body.Outcome, outcome)
 }
 
 func upload(n int) string {
