--- a/internal/linker/instruments_test.go
+++ b/internal/linker/instruments_test.go
@@ -15,10 +15,10 @@
 	"gotest.tools/v3/poll"
 )
 
-// An echo answers with the request's payload.
-type echo struct{}
+// A mirror answers with the request's payload.
+type mirror struct{}
 
-func (echo) Handle(_ context.Context, _ string, payload []byte) ([]byte, error) { return payload, nil }
+func (mirror) Handle(_ context.Context, _ string, payload []byte) ([]byte, error) { return payload, nil }
 
 // A counted is a Linker with the reader of its counters.
 type counted struct {
@@ -42,7 +42,7 @@
 		Meter:         sdkmetric.NewMeterProvider(sdkmetric.WithReader(c.reader)).Meter("linker"),
 	})
 	assert.NilError(t, err)
-	c.Handle(KindBorrow, echo{})
+	c.Handle(KindBorrow, mirror{})
 	ctx, cancel := context.WithCancel(context.Background())
 	end := c.Start(ctx)
 	t.Cleanup(func() {
--- a/internal/linker/linker_test.go
+++ b/internal/linker/linker_test.go
@@ -309,7 +309,7 @@
 	t.Run("claimed length is not allocated", func(t *testing.T) {
 		allocated := testing.Benchmark(func(b *testing.B) {
 			for b.Loop() {
-				_, _ = readFrame(bytes.NewReader([]byte{0x00, 0x40, 0x00, 0x00, 1}))
+				_, _, _ = readFrame(bytes.NewReader([]byte{0x00, 0x40, 0x00, 0x00, 1}))
 			}
 		}).AllocedBytesPerOp()
 		assert.Assert(t, allocated < 4*initialFrameBytes, "%d bytes", allocated)
