fix: an oversized body is refused before it is read

Change: a request whose declared length exceeds the limit is handed over at once, and a batch job after 64 KiB. TestGarbageAtThePort and the acceptor's tests pass.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -30,7 +30,9 @@
 	defaultBatchBodyLimit = 1 << 30
 	// uploadTimeout bounds the body of a batch job; the limit of other requests
 	// would cut large jobs on slow networks.
-	uploadTimeout      = 30 * time.Minute
+	uploadTimeout = 30 * time.Minute
+	// uploadReadAhead is read of a batch job before its handler runs.
+	uploadReadAhead    = 64 << 10
 	defaultHeaderLimit = 16 << 10
 	defaultIdleTimeout = 60 * time.Second
 	defaultReadTimeout = 60 * time.Second // For a whole request.
@@ -183,12 +185,22 @@
 	}
 }
 
-// limitsOf gives batch jobs a larger body and more time than other requests.
+// limitsOf says how much of a body is read before its handler runs. Batch jobs
+// are read by their handler, and so is the refusal of a body that exceeds the
+// limit by its declared length: a caller may wait for it before it sends more.
 func (a *Acceptor) limitsOf(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
-	if h.IsPut() && len(h.RequestURI()) > len(batchPath) && string(h.RequestURI()[:len(batchPath)]) == batchPath {
-		return fasthttp.RequestConfig{MaxRequestBodySize: a.cfg.BatchBodyLimit, ReadTimeout: uploadTimeout}
+	switch {
+	case isBatchUpload(h):
+		return fasthttp.RequestConfig{MaxRequestBodySize: uploadReadAhead, ReadTimeout: uploadTimeout}
+	case h.ContentLength() > a.cfg.BodyLimit:
+		return fasthttp.RequestConfig{MaxRequestBodySize: 1}
+	default:
+		return fasthttp.RequestConfig{}
 	}
-	return fasthttp.RequestConfig{}
+}
+
+func isBatchUpload(h *fasthttp.RequestHeader) bool {
+	return h.IsPut() && len(h.RequestURI()) > len(batchPath) && string(h.RequestURI()[:len(batchPath)]) == batchPath
 }
 
 // Address is the bound address.
--- a/internal/acceptor/body.go
+++ b/internal/acceptor/body.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"strings"
 
 	"github.com/gofiber/fiber/v3"
 
@@ -14,7 +13,7 @@
 func (a *Acceptor) readBody(c fiber.Ctx) error {
 	r := c.Request()
 	limit := a.cfg.BodyLimit
-	batch := r.Header.IsPut() && strings.HasPrefix(c.Path(), batchPath)
+	batch := isBatchUpload(&r.Header)
 	if batch {
 		limit = a.cfg.BatchBodyLimit
 	}
