--- a/cmd/emulator/main.go
+++ b/cmd/emulator/main.go
@@ -6,22 +6,14 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
-	"fmt"
 	"io"
 	"os"
 	"os/signal"
 	"syscall"
 
-	"github.com/alexflint/go-arg"
 	"github.com/ansel1/merry/v2"
-)
 
-// Exit codes of the command.
-const (
-	exitOK      = 0
-	exitFailure = 1
-	exitUsage   = 2
+	"github.com/quetzalhitch/quetzalhitch/internal/parser"
 )
 
 // args are the command line arguments, a subcommand for each stand-in.
@@ -71,32 +63,17 @@
 // the exit code.
 func run(ctx context.Context, arguments []string, stdout, stderr io.Writer) int {
 	var parsed args
-	parser, err := arg.NewParser(arg.Config{Program: "emulator", Out: stderr}, &parsed)
-	if err != nil {
-		fmt.Fprintln(stderr, err)
-		return exitUsage
-	}
-
-	switch err := parser.Parse(arguments); {
-	case errors.Is(err, arg.ErrHelp):
-		_ = parser.WriteHelpForSubcommand(stdout, parser.SubcommandNames()...)
-		return exitOK
-	case err != nil:
-		_ = parser.WriteUsageForSubcommand(stderr, parser.SubcommandNames()...)
-		fmt.Fprintln(stderr, "error:", err)
-		return exitUsage
-	}
-
-	cmd, ok := parser.Subcommand().(stand)
+	program := parser.Program{Name: "emulator", Stdout: stdout, Stderr: stderr}
+	chosen, code := program.Subcommand(arguments, &parsed)
+	cmd, ok := chosen.(stand)
 	if !ok {
-		parser.WriteHelp(stderr)
-		return exitUsage
+		return code
 	}
 	if err := serve(ctx, cmd, stdout); err != nil {
-		fmt.Fprintln(stderr, "error:", err)
-		return exitFailure
+		program.Report(err)
+		return parser.ExitFailure
 	}
-	return exitOK
+	return parser.ExitOK
 }
 
 // serve starts the stand-in, reports its address and waits for its end.
--- a/cmd/emulator/main_test.go
+++ b/cmd/emulator/main_test.go
@@ -11,6 +11,8 @@
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/assert/cmp"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/parser"
 )
 
 // Guards against a stand-in that does not report where it listens, or that
@@ -32,7 +34,7 @@
 			assert.NilError(t, resp.Body.Close())
 
 			cancel()
-			assert.Equal(t, <-code, exitOK, stderr.String())
+			assert.Equal(t, <-code, parser.ExitOK, stderr.String())
 		})
 	}
 }
@@ -41,7 +43,7 @@
 func TestUsageErrors(t *testing.T) {
 	for _, arguments := range [][]string{{}, {"engines"}, {"engine", "--port=1"}} {
 		var stdout, stderr bytes.Buffer
-		assert.Equal(t, run(t.Context(), arguments, &stdout, &stderr), exitUsage)
+		assert.Equal(t, run(t.Context(), arguments, &stdout, &stderr), parser.ExitUsage)
 		assert.Assert(t, cmp.Contains(stderr.String(), "Usage"))
 	}
 }
@@ -50,7 +52,7 @@
 func TestAddressInUse(t *testing.T) {
 	var stdout, stderr bytes.Buffer
 	code := run(t.Context(), []string{"service", "--address", "127.0.0.1:999999"}, &stdout, &stderr)
-	assert.Equal(t, code, exitFailure)
+	assert.Equal(t, code, parser.ExitFailure)
 	assert.Equal(t, stdout.String(), "")
 	assert.Assert(t, cmp.Contains(stderr.String(), "open stand-in"))
 }
--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -4,21 +4,12 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"io"
 	"os"
 	"os/signal"
 	"syscall"
 
-	"github.com/alexflint/go-arg"
-)
-
-// Exit codes of the command.
-const (
-	exitOK      = 0
-	exitFailure = 1
-	exitUsage   = 2
+	"github.com/quetzalhitch/quetzalhitch/internal/parser"
 )
 
 // args are the command line arguments, a subcommand for each task.
@@ -44,30 +35,15 @@
 // run parses arguments, runs the chosen subcommand and returns the exit code.
 func run(ctx context.Context, arguments []string, stdout, stderr io.Writer) int {
 	var parsed args
-	parser, err := arg.NewParser(arg.Config{Program: "measure", Out: stderr}, &parsed)
-	if err != nil {
-		fmt.Fprintln(stderr, err)
-		return exitUsage
-	}
-
-	switch err := parser.Parse(arguments); {
-	case errors.Is(err, arg.ErrHelp):
-		_ = parser.WriteHelpForSubcommand(stdout, parser.SubcommandNames()...)
-		return exitOK
-	case err != nil:
-		_ = parser.WriteUsageForSubcommand(stderr, parser.SubcommandNames()...)
-		fmt.Fprintln(stderr, "error:", err)
-		return exitUsage
-	}
-
-	cmd, ok := parser.Subcommand().(runnable)
+	program := parser.Program{Name: "measure", Stdout: stdout, Stderr: stderr}
+	chosen, code := program.Subcommand(arguments, &parsed)
+	cmd, ok := chosen.(runnable)
 	if !ok {
-		parser.WriteHelp(stderr)
-		return exitUsage
+		return code
 	}
 	if err := cmd.run(ctx, stdout); err != nil {
-		fmt.Fprintln(stderr, "error:", err)
-		return exitFailure
+		program.Report(err)
+		return parser.ExitFailure
 	}
-	return exitOK
+	return parser.ExitOK
 }
--- a/cmd/measure/main_test.go
+++ b/cmd/measure/main_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert/cmp"
 
 	"github.com/quetzalhitch/quetzalhitch/internal/measurer"
+	"github.com/quetzalhitch/quetzalhitch/internal/parser"
 	"github.com/quetzalhitch/quetzalhitch/internal/tester"
 	"github.com/quetzalhitch/quetzalhitch/pkg/declarer"
 )
@@ -86,7 +87,7 @@
 // run that leaves no result.
 func TestRunAndCompare(t *testing.T) {
 	folder := t.TempDir()
-	stdout, _ := measure(t, exitOK, "run", "ljepilo-hub/steady", "--batch=without", "--seed=9",
+	stdout, _ := measure(t, parser.ExitOK, "run", "ljepilo-hub/steady", "--batch=without", "--seed=9",
 		"--warm-up=200ms", "--duration=1s", "--baseline=round-robin", "--folder", folder, "--binaries", toyBinaries(t))
 	assert.Assert(t, cmp.Contains(stdout, "without batch, baseline round-robin, seed 9"))
 
@@ -103,9 +104,9 @@
 	assert.NilError(t, err)
 	with := filepath.Join(folder, withFile)
 	assert.NilError(t, os.WriteFile(with, content, 0o600))
-	stdout, _ = measure(t, exitOK, "compare", with, file)
+	stdout, _ = measure(t, parser.ExitOK, "compare", with, file)
 	assert.Assert(t, cmp.Contains(stdout, "first token p99"))
-	_, stderr := measure(t, exitFailure, "compare", file, with)
+	_, stderr := measure(t, parser.ExitFailure, "compare", file, with)
 	assert.Assert(t, cmp.Contains(stderr, "one without"))
 }
 
@@ -135,7 +136,7 @@
 
 // Guards against a misspelt name that runs something else.
 func TestUsage(t *testing.T) {
-	stdout, _ := measure(t, exitOK, "list")
+	stdout, _ := measure(t, parser.ExitOK, "list")
 	for _, want := range []string{"scenario authority/platform-down", "baseline no-yield"} {
 		assert.Assert(t, cmp.Contains(stdout, want))
 	}
@@ -144,8 +145,8 @@
 		"--batch is":   {"run", "authority/steady", "--batch=some"},
 		"authority/st": {"run", "authority/stead"},
 	} {
-		_, stderr := measure(t, exitFailure, arguments...)
+		_, stderr := measure(t, parser.ExitFailure, arguments...)
 		assert.Assert(t, cmp.Contains(stderr, want))
 	}
-	measure(t, exitUsage, "walk")
+	measure(t, parser.ExitUsage, "walk")
 }
--- a/cmd/measure/slopes_test.go
+++ b/cmd/measure/slopes_test.go
@@ -9,6 +9,8 @@
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/assert/cmp"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/parser"
 )
 
 func assertLine(t *testing.T, s slope, want slope) {
@@ -56,7 +58,7 @@
 // Guards against what was measured being lost when a later part fails.
 func TestSlopesOfUnknownPart(t *testing.T) {
 	folder := t.TempDir()
-	stdout, stderr := measure(t, exitFailure, "slopes", "unknown", "--folder", folder)
+	stdout, stderr := measure(t, parser.ExitFailure, "slopes", "unknown", "--folder", folder)
 	assert.Assert(t, cmp.Contains(stdout, "intercept"))
 	assert.Assert(t, cmp.Contains(stderr, `unknown part "unknown"`))
 	content, err := os.ReadFile(filepath.Join(folder, slopesFile)) //nolint:gosec // Of this test.
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -4,17 +4,13 @@
 
 import (
 	"errors"
-	"fmt"
 	"io"
 
-	"github.com/alexflint/go-arg"
+	"github.com/quetzalhitch/quetzalhitch/internal/parser"
 )
 
-// Exit codes of the binary.
+// Exit codes of the binary beside those of package parser.
 const (
-	exitOK      = 0
-	exitFailure = 1
-	exitUsage   = 2
 	exitPending = 3 // Accepted, but not confirmed by every instance in time.
 	exitInDoubt = 4 // It is unknown whether the change was accepted.
 
@@ -55,32 +51,17 @@
 // Main parses args, runs the chosen subcommand and returns the exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
 	var parsed Args
-	parser, err := arg.NewParser(arg.Config{Program: "quetzalhitch", Out: stderr}, &parsed)
-	if err != nil {
-		fmt.Fprintln(stderr, err)
-		return exitUsage
-	}
-
-	switch err := parser.Parse(args); {
-	case errors.Is(err, arg.ErrHelp):
-		_ = parser.WriteHelpForSubcommand(stdout, parser.SubcommandNames()...)
-		return exitOK
-	case err != nil:
-		_ = parser.WriteUsageForSubcommand(stderr, parser.SubcommandNames()...)
-		fmt.Fprintln(stderr, "error:", err)
-		return exitUsage
-	}
-
-	cmd, ok := parser.Subcommand().(runnable)
+	program := parser.Program{Name: "quetzalhitch", Stdout: stdout, Stderr: stderr}
+	chosen, code := program.Subcommand(args, &parsed)
+	cmd, ok := chosen.(runnable)
 	if !ok {
-		parser.WriteHelp(stderr)
-		return exitUsage
+		return code
 	}
 	if err := cmd.run(stdout, stderr); err != nil {
-		fmt.Fprintln(stderr, "error:", err)
+		program.Report(err)
 		return exitCode(err)
 	}
-	return exitOK
+	return parser.ExitOK
 }
 
 func exitCode(err error) int {
@@ -88,5 +69,5 @@
 	if errors.As(err, &coded) {
 		return coded.code
 	}
-	return exitFailure
+	return parser.ExitFailure
 }
--- a/internal/commander/job_test.go
+++ b/internal/commander/job_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/quetzalhitch/quetzalhitch/internal/batcher"
+	"github.com/quetzalhitch/quetzalhitch/internal/parser"
 	"github.com/quetzalhitch/quetzalhitch/internal/receiver"
 	"github.com/quetzalhitch/quetzalhitch/pkg/refuser"
 )
@@ -84,23 +85,23 @@
 		code       int
 		out        string
 	}{
-		{"submit", "submit a " + items + " --due-in 8h", exitOK, "job a: completed, 3 done, 0 failed, 0 cancelled of 3 items, due 1970-01-01T00:00:00Z\n"},
-		{"submit and wait", "submit b --wait " + items, exitOK, "job b: completed"},
+		{"submit", "submit a " + items + " --due-in 8h", parser.ExitOK, "job a: completed, 3 done, 0 failed, 0 cancelled of 3 items, due 1970-01-01T00:00:00Z\n"},
+		{"submit and wait", "submit b --wait " + items, parser.ExitOK, "job b: completed"},
 		{"submit and wait for failures", "submit failing --wait " + items, exitIncomplete, "1 of 3 items were not done"},
-		{"refused", "submit conflict " + items, exitFailure, "job-conflict (not-run): other items"},
+		{"refused", "submit conflict " + items, parser.ExitFailure, "job-conflict (not-run): other items"},
 		{"in doubt", "submit doubt " + items, exitInDoubt, "submit it again, it does not run twice"},
 		{"answer lost", "submit lost " + items, exitInDoubt, "submit it again, it does not run twice"},
-		{"no file", "submit a nothing.jsonl", exitFailure, "no such file"},
-		{"status", "status a", exitOK, "job a: completed"},
-		{"status of a lost entry", "status lost", exitFailure, "EOF"},
-		{"cancel", "cancel a", exitOK, "job a: cancelled, 1 done, 0 failed, 2 cancelled"},
+		{"no file", "submit a nothing.jsonl", parser.ExitFailure, "no such file"},
+		{"status", "status a", parser.ExitOK, "job a: completed"},
+		{"status of a lost entry", "status lost", parser.ExitFailure, "EOF"},
+		{"cancel", "cancel a", parser.ExitOK, "job a: cancelled, 1 done, 0 failed, 2 cancelled"},
 		{"cancel in doubt", "cancel lost", exitInDoubt, "cancel it again"},
-		{"results", "results a", exitOK, "{\"custom_id\":\"a\"}\n"},
-		{"results cut", "results cut", exitFailure, "the results are not whole"},
-		{"results to a file", "results a -o " + filepath.Join(folder, "out.jsonl"), exitOK, ""},
-		{"results cut to a file", "results cut -o " + filepath.Join(folder, "cut.jsonl"), exitFailure, "the results are not whole"},
-		{"no job", "status", exitUsage, "required"},
-		{"key as an argument", "status a --key sesame", exitUsage, "unknown argument"},
+		{"results", "results a", parser.ExitOK, "{\"custom_id\":\"a\"}\n"},
+		{"results cut", "results cut", parser.ExitFailure, "the results are not whole"},
+		{"results to a file", "results a -o " + filepath.Join(folder, "out.jsonl"), parser.ExitOK, ""},
+		{"results cut to a file", "results cut -o " + filepath.Join(folder, "cut.jsonl"), parser.ExitFailure, "the results are not whole"},
+		{"no job", "status", parser.ExitUsage, "required"},
+		{"key as an argument", "status a --key sesame", parser.ExitUsage, "unknown argument"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -117,12 +118,12 @@
 
 	t.Run("key file", func(t *testing.T) {
 		t.Setenv("QUETZALHITCH_KEY", "")
-		assertRuns(t, "job status a", exitFailure, "a key is needed")
-		assertRuns(t, "job status a --key-file "+keyFile, exitOK, "job a: completed")
+		assertRuns(t, "job status a", parser.ExitFailure, "a key is needed")
+		assertRuns(t, "job status a --key-file "+keyFile, parser.ExitOK, "job a: completed")
 	})
 	t.Run("unknown key", func(t *testing.T) {
 		t.Setenv("QUETZALHITCH_KEY", "other")
-		assertRuns(t, "job status a", exitFailure, "key-unknown")
+		assertRuns(t, "job status a", parser.ExitFailure, "key-unknown")
 	})
 }
 
@@ -135,5 +136,5 @@
 	text := stdout.String() + stderr.String()
 	assert.Assert(t, strings.Contains(text, out), text)
 	assert.Assert(t, !strings.Contains(text, clearLine))
-	assert.Assert(t, !strings.Contains(text, "sesame") || code == exitUsage, text)
+	assert.Assert(t, !strings.Contains(text, "sesame") || code == parser.ExitUsage, text)
 }
