--- a/internal/dispatcher/dispatch.go
+++ b/internal/dispatcher/dispatch.go
@@ -137,7 +137,7 @@
 		return r.cancelled(ctx)
 	}
 	r.logDecision("admission", a.Reason)
-	refusal := refuser.New(refuser.RateExceeded, refuser.NotRun, "the workspace has used its rate and burst")
+	refusal := refuser.New(refuser.RateExceeded, refuser.NotRun, "the workspace has no token of its rate and burst now: "+a.Reason)
 	refusal.RetryAfter = a.RetryAfter
 	return refusal
 }
