--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -24,11 +25,17 @@
 
 const (
 	defaultBodyLimit = 4 << 20
-	// defaultBatchBodyLimit holds a job of 110,000 items of 2 KB each.
-	defaultBatchBodyLimit = 256 << 20
-	defaultHeaderLimit    = 16 << 10
-	defaultIdleTimeout    = 60 * time.Second
-	defaultReadTimeout    = 60 * time.Second // For a whole request.
+	// defaultBatchBodyLimit holds a job of 110,000 items of 9 KB each. Batch
+	// bodies are streamed, so that they are not held in memory.
+	defaultBatchBodyLimit = 1 << 30
+	// uploadTimeout bounds the body of a batch job; the limit of other requests
+	// would cut large jobs on slow networks.
+	uploadTimeout = 30 * time.Minute
+	// uploadReadAhead is read of a batch job before its handler runs.
+	uploadReadAhead    = 64 << 10
+	defaultHeaderLimit = 16 << 10
+	defaultIdleTimeout = 60 * time.Second
+	defaultReadTimeout = 60 * time.Second // For a whole request.
 	// defaultWriteSilence is the time in which a caller has to take up the next
 	// part of its answer.
 	defaultWriteSilence = 30 * time.Second
@@ -131,6 +138,7 @@
 		IdleTimeout:                  cfg.IdleTimeout,
 		ReadBufferSize:               cfg.HeaderLimit,
 		ReadTimeout:                  cfg.ReadTimeout,
+		StreamRequestBody:            true,
 		StrictRouting:                true,
 	})
 	a.mount()
@@ -139,6 +147,7 @@
 }
 
 func (a *Acceptor) mount() {
+	a.app.Use(a.readBody)
 	a.app.Get("/healthz", a.healthz)
 	a.app.Get("/readyz", a.readyz)
 	if a.cfg.Metrics != nil {
@@ -157,19 +166,41 @@
 	s.HeaderReceived = a.limitsOf
 	handle := s.Handler
 	s.Handler = func(ctx *fasthttp.RequestCtx) {
-		handle(ctx)
+		a.handle(ctx, handle)
 		if a.draining.Load() {
 			ctx.SetConnectionClose() // The caller's next request goes to another instance.
 		}
 	}
 }
 
-// limitsOf gives batch jobs a larger body than other requests.
+// handle answers for fiber where it panics, which would end the process, and
+// where it answers an unknown method without JSON.
+func (a *Acceptor) handle(ctx *fasthttp.RequestCtx, handle fasthttp.RequestHandler) {
+	if fault := panics.Try(func() { handle(ctx) }); fault != nil {
+		a.cfg.Logger.WithField("stack", string(fault.Stack)).Error("a handler panicked")
+		_ = writeRefusal(ctx, refusalOf(fault.AsError()))
+	}
+	if ctx.Response.StatusCode() == fasthttp.StatusNotImplemented && !slices.Contains(a.app.Config().RequestMethods, string(ctx.Method())) {
+		_ = writeRefusal(ctx, refusalOf(fiber.ErrNotImplemented))
+	}
+}
+
+// limitsOf says how much of a body is read before its handler runs. Batch jobs
+// are read by their handler, and so is the refusal of a body that exceeds the
+// limit by its declared length: a caller may wait for it before it sends more.
 func (a *Acceptor) limitsOf(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
-	if h.IsPut() && len(h.RequestURI()) > len(batchPath) && string(h.RequestURI()[:len(batchPath)]) == batchPath {
-		return fasthttp.RequestConfig{MaxRequestBodySize: a.cfg.BatchBodyLimit}
+	switch {
+	case isBatchUpload(h):
+		return fasthttp.RequestConfig{MaxRequestBodySize: uploadReadAhead, ReadTimeout: uploadTimeout}
+	case h.ContentLength() > a.cfg.BodyLimit:
+		return fasthttp.RequestConfig{MaxRequestBodySize: 1}
+	default:
+		return fasthttp.RequestConfig{}
 	}
-	return fasthttp.RequestConfig{}
+}
+
+func isBatchUpload(h *fasthttp.RequestHeader) bool {
+	return h.IsPut() && len(h.RequestURI()) > len(batchPath) && string(h.RequestURI()[:len(batchPath)]) == batchPath
 }
 
 // Address is the bound address.
--- a/internal/batcher/lanes.go
+++ b/internal/batcher/lanes.go
@@ -14,12 +14,12 @@
 	// growPause is the time without refusal after which a lane tries more
 	// items side by side. It doubles up to maxGrowPause while the tries fail,
 	// so idle capacity is noticed well within a second.
-	growPause    = 100 * time.Millisecond
+	growPause    = 50 * time.Millisecond
 	maxGrowPause = 400 * time.Millisecond
 	// roomPause is the pause of a lane without any item in flight after a
 	// refusal; it doubles up to maxRoomPause.
 	roomPause    = 20 * time.Millisecond
-	maxRoomPause = 500 * time.Millisecond
+	maxRoomPause = 300 * time.Millisecond
 )
 
 // An outcome says what the end of an item tells about room.
@@ -221,7 +221,8 @@
 	l.grew = false
 	l.limit = max(l.inFlight, 1)
 	l.changedAt = now
-	if l.inFlight == 0 {
+	if l.inFlight == 0 { // Nothing is known of the room that will come.
+		l.grow = growPause
 		l.room = min(max(2*l.room, roomPause), maxRoomPause)
 		l.notBefore = now.Add(l.room)
 	}
--- a/internal/batcher/lanes_test.go
+++ b/internal/batcher/lanes_test.go
@@ -62,12 +62,18 @@
 		e.room.Store(room)
 		begun := time.Now()
 		eventually(t, "the room is used", func() bool { return e.inFlight.Load() >= min(room, 48) })
-		assert.Assert(t, time.Since(begun) < 2*time.Second, "%s", time.Since(begun))
+		t.Logf("used %d slots after %s", min(room, 48), time.Since(begun))
+		assert.Assert(t, time.Since(begun) < time.Second, "%s", time.Since(begun))
 	}
 	t.Run("grows", func(t *testing.T) { assertFills(t, 32) })
 	t.Run("shrinks", func(t *testing.T) {
 		e.room.Store(0)
-		eventually(t, "nothing is in flight", func() bool { return e.inFlight.Load() == 0 })
+		l := s.get("a")
+		eventually(t, "one item at a time is tried", func() bool {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			return l.limit == 1 && l.inFlight == 0
+		})
 		begun, refused := time.Now(), e.refused.Load()
 		eventually(t, "items are refused", func() bool { return e.refused.Load() > refused+5 })
 		bound := int64(time.Since(begun)/roomPause) + 2
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -4,19 +4,17 @@
 
 import (
 	"errors"
-	"fmt"
 	"io"
 
-	"github.com/alexflint/go-arg"
+	"github.com/quetzalhitch/quetzalhitch/internal/parser"
 )
 
-// Exit codes of the binary.
+// Exit codes of the binary beside those of package parser.
 const (
-	exitOK      = 0
-	exitFailure = 1
-	exitUsage   = 2
 	exitPending = 3 // Accepted, but not confirmed by every instance in time.
 	exitInDoubt = 4 // It is unknown whether the change was accepted.
+
+	exitIncomplete = 5 // A job that was waited for did not do all its items.
 )
 
 // Args are the command line arguments of the binary.
@@ -25,6 +23,7 @@
 	Check   *CheckCmd   `arg:"subcommand:check" help:"report the faults of settings, declarations and release notes"`
 	Dev     *DevCmd     `arg:"subcommand:dev" help:"run two entries and example backend servers in this process"`
 	Entry   *EntryCmd   `arg:"subcommand:entry" help:"run an entry instance"`
+	Job     *JobCmd     `arg:"subcommand:job" help:"submit, follow and cancel batch jobs"`
 	Key     *KeyCmd     `arg:"subcommand:key" help:"grant and withdraw keys of workspaces"`
 	Status  *StatusCmd  `arg:"subcommand:status" help:"show the configuration in force and where it is confirmed"`
 	Version *VersionCmd `arg:"subcommand:version" help:"print the version"`
@@ -52,32 +51,17 @@
 // Main parses args, runs the chosen subcommand and returns the exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
 	var parsed Args
-	parser, err := arg.NewParser(arg.Config{Program: "quetzalhitch", Out: stderr}, &parsed)
-	if err != nil {
-		fmt.Fprintln(stderr, err)
-		return exitUsage
-	}
-
-	switch err := parser.Parse(args); {
-	case errors.Is(err, arg.ErrHelp):
-		_ = parser.WriteHelpForSubcommand(stdout, parser.SubcommandNames()...)
-		return exitOK
-	case err != nil:
-		_ = parser.WriteUsageForSubcommand(stderr, parser.SubcommandNames()...)
-		fmt.Fprintln(stderr, "error:", err)
-		return exitUsage
-	}
-
-	cmd, ok := parser.Subcommand().(runnable)
+	program := parser.Program{Name: "quetzalhitch", Stdout: stdout, Stderr: stderr}
+	chosen, code := program.Subcommand(args, &parsed)
+	cmd, ok := chosen.(runnable)
 	if !ok {
-		parser.WriteHelp(stderr)
-		return exitUsage
+		return code
 	}
 	if err := cmd.run(stdout, stderr); err != nil {
-		fmt.Fprintln(stderr, "error:", err)
+		program.Report(err)
 		return exitCode(err)
 	}
-	return exitOK
+	return parser.ExitOK
 }
 
 func exitCode(err error) int {
@@ -85,5 +69,5 @@
 	if errors.As(err, &coded) {
 		return coded.code
 	}
-	return exitFailure
+	return parser.ExitFailure
 }
--- a/internal/prover/path_test.go
+++ b/internal/prover/path_test.go
@@ -6,10 +6,12 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/quetzalhitch/quetzalhitch/internal/tester"
+	"github.com/quetzalhitch/quetzalhitch/pkg/administrator"
 )
 
 // A job is the status of a batch job as callers see it.
@@ -35,6 +37,18 @@
 		assertOK(t, a)
 		assert.Assert(t, strings.Contains(a.body, "pallet-17"), "%s", a.body)
 	})
+	t.Run("the status names every entry as confirmed", func(t *testing.T) {
+		for _, entry := range b.Entries {
+			a := b.mustCall(entry.ID, get(b.OperatorKey, administrator.PathStatus))
+			assertOK(t, a)
+			var status administrator.StatusAnswer
+			assert.NilError(t, json.Unmarshal([]byte(a.body), &status))
+			assert.Equal(t, len(status.Instances), len(b.Entries))
+			for _, i := range status.Instances {
+				assert.Assert(t, i.Confirmed, "%s says %+v", entry.ID, i)
+			}
+		}
+	})
 	t.Run("an unknown key", func(t *testing.T) {
 		a := b.mustCall("entry-a1", chat("no-such-key", "stranger", 5, false))
 		assertRefused(t, a, "key-unknown", "not-run")
@@ -57,7 +71,12 @@
 // awaitJob waits until a job has a state.
 func (b *bench) awaitJob(entry, key, name, state string) {
 	b.t.Helper()
-	tester.Eventually(b.t, patience, "job "+name+" is "+state, func() error {
+	b.awaitJobWithin(patience, entry, key, name, state)
+}
+
+func (b *bench) awaitJobWithin(limit time.Duration, entry, key, name, state string) {
+	b.t.Helper()
+	tester.Eventually(b.t, limit, "job "+name+" is "+state, func() error {
 		a, err := b.call(entry, get(key, "/v1/batches/"+name))
 		if err != nil {
 			return err
--- a/internal/runner/assemble.go
+++ b/internal/runner/assemble.go
@@ -18,12 +18,12 @@
 	"github.com/quetzalhitch/quetzalhitch/internal/orderer"
 	"github.com/quetzalhitch/quetzalhitch/internal/placer"
 	"github.com/quetzalhitch/quetzalhitch/internal/publisher"
+	"github.com/quetzalhitch/quetzalhitch/internal/quarantiner"
 	"github.com/quetzalhitch/quetzalhitch/internal/receiver"
 	"github.com/quetzalhitch/quetzalhitch/internal/recorder"
 	"github.com/quetzalhitch/quetzalhitch/internal/registrar"
 	"github.com/quetzalhitch/quetzalhitch/internal/reporter"
 	"github.com/quetzalhitch/quetzalhitch/internal/retrier"
-	"github.com/quetzalhitch/quetzalhitch/internal/router"
 	"github.com/quetzalhitch/quetzalhitch/internal/sender"
 	"github.com/quetzalhitch/quetzalhitch/internal/storer"
 )
@@ -39,11 +39,13 @@
 	publisher     *publisher.Publisher
 	configuration *configuration
 	leaser        *leaser.Leaser
+	variant       variant
 	heartbeater   *heartbeater.Heartbeater
 	authenticator *authenticator.Authenticator
 	sender        *sender.Sender
 	prober        *sender.Prober
 	retrier       *retrier.Retrier
+	quarantiner   *quarantiner.Quarantiner
 	recorder      *recorder.Recorder
 	dispatcher    *dispatcher.Dispatcher
 	folder        *archiver.Folder // Nil without a disk.
@@ -63,6 +65,7 @@
 		{name: "leaser", starter: p.leaser},
 		{name: "heartbeater", starter: p.heartbeater},
 		{name: "prober", starter: p.prober},
+		{name: "quarantiner", starter: p.quarantiner},
 		{name: "recorder", starter: p.recorder},
 		{name: "spreader", starter: p.spreader},
 	}
@@ -135,6 +138,7 @@
 		TLS:           tlsConfig,
 		Clock:         e.options.Clock,
 		Logger:        e.options.Logger,
+		Meter:         e.meter("linker"),
 	})
 	if err != nil {
 		return err
@@ -170,10 +174,11 @@
 		Roster:    p.roster,
 		Links:     p.links,
 		Lister:    &instanceLister{store: p.store, fleet: p.fleet},
-		Loads:     p.fleet,
+		Loads:     &sharedLoads{Fleet: p.fleet, parts: p},
 		Revisions: p.configuration,
 		Lendings:  p.leaser,
 	})
+	p.variant = e.variant()
 	p.leaser.SetAnnouncer(p.heartbeater)
 	p.leaser.Register(p.links)
 	p.links.Handle(linker.KindHeartbeat, p.heartbeater)
@@ -225,15 +230,19 @@
 		Clock:  e.options.Clock,
 	})
 	p.retrier = retrier.New(retrier.Config{Clock: e.options.Clock, Announcer: p.spreader})
+	p.quarantiner = quarantiner.New(quarantiner.Config{
+		Store:   p.store,
+		Learner: p.retrier,
+		Clock:   e.options.Clock,
+		Logger:  e.options.Logger,
+	})
+	p.spreader.observe = p.quarantiner.Observe
 	p.recorder = recorder.New(e.settings.InstanceID, e.options.Clock.Now().UnixNano(), p.store, e.options.Clock)
 
-	gate := &admission{borrower: p.leaser.Borrower()}
+	gate := &admission{admitter: p.variant.admitter, borrower: p.leaser.Borrower()}
 	p.dispatcher, err = dispatcher.New(dispatcher.Config{
-		Fleet: p.fleet,
-		Router: router.New(router.Config{
-			FailureDomain: e.settings.FailureDomain,
-			Region:        e.settings.Region,
-		}),
+		Fleet:    p.fleet,
+		Router:   p.variant.chooser,
 		Retrier:  p.retrier,
 		Sender:   p.sender,
 		Prober:   p.prober,
@@ -244,6 +253,9 @@
 		Logger:   e.options.Logger,
 		Meter:    e.meter("dispatcher"),
 		OnYield:  p.spreader.askToYield,
+		OnRoom:   newRoomNotifier(e.options.Clock, p.heartbeater.Prod).notify,
+
+		RoomMaker: p.variant.roomMaker,
 	})
 	if err != nil {
 		return err
@@ -275,6 +287,7 @@
 		Archive:  p.archiver,
 		Runner:   line,
 		Routes:   line,
+		Order:    p.variant.order,
 		Clock:    e.options.Clock,
 		Logger:   e.options.Logger,
 	})
@@ -302,6 +315,7 @@
 		authenticator: e.parts.authenticator,
 		fleet:         e.parts.fleet,
 		leaser:        e.parts.leaser,
+		roster:        e.parts.roster,
 		sender:        e.parts.sender,
 	})
 }
