--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -69,6 +69,14 @@
 	Handle(ctx context.Context, sender string, payload []byte) (response []byte, err error)
 }
 
+// A HandlerFunc is a function that answers messages.
+type HandlerFunc func(ctx context.Context, sender string, payload []byte) (response []byte, err error)
+
+// Handle implements Handler.
+func (f HandlerFunc) Handle(ctx context.Context, sender string, payload []byte) (response []byte, err error) {
+	return f(ctx, sender, payload)
+}
+
 // A Peer is an instance that this process can call.
 type Peer struct {
 	ID            string
--- a/internal/publisher/messages.go
+++ b/internal/publisher/messages.go
@@ -33,22 +33,14 @@
 	Data []byte `cbor:"data,omitempty"`
 }
 
-// A handlerFunc is a linker.Handler.
-type handlerFunc func(ctx context.Context, sender string, payload []byte) (response []byte, err error)
-
-// Handle implements linker.Handler.
-func (f handlerFunc) Handle(ctx context.Context, sender string, payload []byte) ([]byte, error) {
-	return f(ctx, sender, payload)
-}
-
 // SnapshotHandler answers messages of kind snapshot.
 func (p *Publisher) SnapshotHandler() linker.Handler {
-	return handlerFunc(p.handleSnapshot)
+	return linker.HandlerFunc(p.handleSnapshot)
 }
 
 // SnapshotRequestHandler answers messages of kind snapshot-request.
 func (p *Publisher) SnapshotRequestHandler() linker.Handler {
-	return handlerFunc(p.handleSnapshotRequest)
+	return linker.HandlerFunc(p.handleSnapshotRequest)
 }
 
 func (p *Publisher) handleSnapshot(_ context.Context, sender string, payload []byte) (response []byte, err error) {
--- a/internal/runner/spreader.go
+++ b/internal/runner/spreader.go
@@ -98,17 +98,9 @@
 	}
 }
 
-// A handlerFunc is a function that answers messages.
-type handlerFunc func(ctx context.Context, sender string, payload []byte) ([]byte, error)
-
-// Handle implements linker.Handler.
-func (f handlerFunc) Handle(ctx context.Context, sender string, payload []byte) ([]byte, error) {
-	return f(ctx, sender, payload)
-}
-
 // suspectHandler takes over crash suspects of peers.
 func suspectHandler(r *retrier.Retrier) linker.Handler {
-	return handlerFunc(func(_ context.Context, _ string, payload []byte) ([]byte, error) {
+	return linker.HandlerFunc(func(_ context.Context, _ string, payload []byte) ([]byte, error) {
 		var n retrier.Notice
 		if err := linker.Unmarshal(payload, &n); err != nil {
 			return nil, err
@@ -120,7 +112,7 @@
 
 // yieldHandler ends batch items on the word of a peer.
 func yieldHandler(yield func(server string)) linker.Handler {
-	return handlerFunc(func(_ context.Context, _ string, payload []byte) ([]byte, error) {
+	return linker.HandlerFunc(func(_ context.Context, _ string, payload []byte) ([]byte, error) {
 		var n yieldNotice
 		if err := linker.Unmarshal(payload, &n); err != nil {
 			return nil, err
