--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -20,6 +20,7 @@
 	"github.com/quetzalhitch/quetzalhitch/internal/authenticator"
 	"github.com/quetzalhitch/quetzalhitch/internal/dispatcher"
 	"github.com/quetzalhitch/quetzalhitch/internal/registrar"
+	"github.com/quetzalhitch/quetzalhitch/internal/watcher"
 	"github.com/quetzalhitch/quetzalhitch/pkg/refuser"
 )
 
@@ -127,7 +128,7 @@
 	if err != nil {
 		return nil, err
 	}
-	a = &Acceptor{cfg: cfg, listener: &callerListener{Listener: listener, writeSilence: cfg.WriteSilence}}
+	a = &Acceptor{cfg: cfg, listener: &watcher.Listener{Listener: listener, WriteSilence: cfg.WriteSilence}}
 	a.app = fiber.New(fiber.Config{
 		BodyLimit:                    cfg.BodyLimit,
 		CaseSensitive:                true,
--- a/internal/acceptor/refusal.go
+++ b/internal/acceptor/refusal.go
@@ -8,15 +8,16 @@
 	"github.com/gofiber/fiber/v3"
 	"github.com/valyala/fasthttp"
 
+	"github.com/quetzalhitch/quetzalhitch/internal/watcher"
 	"github.com/quetzalhitch/quetzalhitch/pkg/refuser"
 )
 
 // handleError answers with the refusal that an error stands for.
 func (a *Acceptor) handleError(c fiber.Ctx, err error) error {
 	refusal := refusalOf(err)
-	conn, ok := c.RequestCtx().Conn().(*callerConn)
+	conn, ok := c.RequestCtx().Conn().(*watcher.Conn)
 	if ok && leavesUnread(refusal.Code) {
-		conn.linger()
+		conn.Linger()
 	}
 	return Refuse(c, refusal)
 }
--- a/internal/acceptor/run.go
+++ b/internal/acceptor/run.go
@@ -7,6 +7,7 @@
 
 	"github.com/quetzalhitch/quetzalhitch/internal/authenticator"
 	"github.com/quetzalhitch/quetzalhitch/internal/dispatcher"
+	"github.com/quetzalhitch/quetzalhitch/internal/watcher"
 	"github.com/quetzalhitch/quetzalhitch/pkg/refuser"
 )
 
@@ -22,7 +23,7 @@
 		cancel(refusal)
 		return refusal
 	}
-	watch := watchCaller(c.RequestCtx().Conn(), func() { cancel(dispatcher.ErrCallerGone) })
+	watch := watcher.Caller(c.RequestCtx().Conn(), func() { cancel(dispatcher.ErrCallerGone) })
 	b := newBridge()
 	a.running.Go(func() {
 		refusal := refuser.New(refuser.Internal, refuser.Unknown, "the instance failed to serve the request")
@@ -60,10 +61,10 @@
 }
 
 // answer writes the answer, or lets the server stream it.
-func answer(c fiber.Ctx, b *bridge, watch *callerWatch, cancel context.CancelCauseFunc) error {
+func answer(c fiber.Ctx, b *bridge, watch *watcher.Watch, cancel context.CancelCauseFunc) error {
 	first := <-b.first
 	if !first.stream {
-		watch.stop()
+		watch.Stop()
 	}
 	if first.refusal != nil {
 		return first.refusal
@@ -78,7 +79,7 @@
 	}
 	c.Response().SetBodyStream(&streamReader{bridge: b, onClose: func() {
 		cancel(dispatcher.ErrCallerGone) // Without effect after the end of the dispatch.
-		watch.stop()
+		watch.Stop()
 	}}, -1)
 	return nil
 }
--- /dev/null
+++ b/internal/apportioner/account.go
@@ -0,0 +1,118 @@
+package apportioner
+
+import (
+	"math"
+	"time"
+)
+
+// An account is the bucket of one workspace as this instance knows it.
+type account struct {
+	contract Contract
+	level    float64 // Tokens left to the group; negative after admissions that were learned late.
+	own      float64 // Tokens of the refill that this instance may still use.
+	admitted float64 // By this instance since it started.
+	demand   float64 // Requests per second, decaying.
+	updated  time.Time
+	peers    map[string]peerUsage // By instance ID.
+	informed bool                 // A peer has told its level.
+}
+
+// A peerUsage is the last report of a peer.
+type peerUsage struct {
+	admitted float64
+	demand   float64
+	at       time.Time
+}
+
+func newAccount(c Contract, st standing, now time.Time) *account {
+	return &account{contract: c, level: startLevel * c.Burst * st.group, updated: now, peers: map[string]peerUsage{}}
+}
+
+// change takes over a new contract. A lower burst binds at once.
+func (a *account) change(c Contract, st standing, now time.Time) {
+	a.advance(st, now)
+	a.contract = c
+	a.level = min(a.level, c.Burst*st.group)
+}
+
+// share is the part of the group's refill that this instance may use.
+func (a *account) share(st standing, now time.Time) float64 {
+	together := max(st.group*float64(st.members), 1)
+	equal := 1 / together
+	total := a.demand
+	for _, p := range a.peers {
+		if now.Sub(p.at) < heardWithin {
+			total += p.demand
+		}
+	}
+	if total <= 0 {
+		return equal
+	}
+	floor := minShare * equal
+	return floor + (1-minShare)*a.demand/total
+}
+
+// advance refills the bucket for the time that has passed.
+func (a *account) advance(st standing, now time.Time) {
+	elapsed := now.Sub(a.updated).Seconds()
+	if elapsed <= 0 {
+		return
+	}
+	a.updated = now
+	refill := a.contract.Rate * st.group * elapsed
+	share := a.share(st, now)
+	a.level = min(a.level+refill, a.contract.Burst*st.group)
+	a.own = min(a.own+refill*share, max(1, a.contract.Burst*st.group*share))
+	a.demand *= math.Exp(-elapsed / demandMemory.Seconds())
+}
+
+func (a *account) admit(st standing, now time.Time) Decision {
+	a.advance(st, now)
+	a.demand += 1 / demandMemory.Seconds()
+	free := a.level >= freeLevel*a.contract.Burst*st.group && a.level >= 1
+	d := Decision{Level: a.level, Share: a.share(st, now)}
+	if !free && (a.own < 1 || a.level < 1-a.slack(st)) {
+		d.RetryAfter = a.wait(st, d.Share)
+		return d
+	}
+	a.level--
+	a.own = max(a.own-1, 0)
+	a.admitted++
+	d.Admitted = true
+	return d
+}
+
+// slack lets an instance use its own part of the refill while the level, which
+// it knows late, is just below one.
+func (a *account) slack(st standing) float64 {
+	return min(1, 0.05*a.contract.Burst*st.group)
+}
+
+// wait is the time until this instance expects a token.
+func (a *account) wait(st standing, share float64) time.Duration {
+	rate := a.contract.Rate * st.group * share
+	if rate <= 0 {
+		return time.Second
+	}
+	missing := max(1-a.own, 1-a.level, 0.1)
+	return time.Duration(missing / rate * float64(time.Second))
+}
+
+// learn counts what a peer admitted since its last report.
+func (a *account) learn(peer string, u Usage, st standing, now time.Time) {
+	a.advance(st, now)
+	last, known := a.peers[peer]
+	switch {
+	case !known:
+		if !a.informed {
+			a.level = min(max(u.Level, a.level), a.contract.Burst*st.group)
+			a.informed = true
+		}
+	case u.Admitted >= last.admitted:
+		a.level -= u.Admitted - last.admitted
+	default:
+		a.level -= u.Admitted // The peer started anew.
+	}
+	a.level = max(a.level, -a.contract.Burst)
+	a.peers[peer] = peerUsage{admitted: u.Admitted, demand: u.Demand, at: now}
+}
--- /dev/null
+++ b/internal/apportioner/apportioner.go
@@ -0,0 +1,208 @@
+// Package apportioner admits requests within the rate and burst of their
+// workspace, counted over all instances. Instances tell each other what they
+// admitted; no instance is needed for another one's decision.
+//
+// Each instance follows the bucket of a workspace from its own admissions and
+// those that its peers report. While the bucket is well filled, any instance
+// admits. Below that, each admits its part of the refill, by demand. An instance
+// that is not heard from is assumed to use the equal part that it is left with
+// when it hears nobody, so that both sides of a cut stay within the rate
+// together.
+package apportioner
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// shardCount is the number of parts of the table of workspaces.
+	shardCount = 16
+	// heardWithin is the silence after which a peer counts as cut off. It is
+	// four reports.
+	heardWithin = 700 * time.Millisecond
+	// freeLevel is the part of the burst above which any instance admits without
+	// regard to its share.
+	freeLevel = 0.5
+	// startLevel is the part of the burst that a new instance assumes to be
+	// left before it has heard of it.
+	startLevel = 0.25
+	// demandMemory is the time over which demand is averaged. It is shorter than
+	// the bursts of a second or two that traffic comes in.
+	demandMemory = time.Second
+	// minShare is the least part of the refill, relative to an equal part, that
+	// an instance keeps without demand, so that its first requests find a token.
+	minShare = 0.25
+)
+
+// A Contract is the rate of a workspace over all instances.
+type Contract struct {
+	Workspace string
+	Rate      float64 // Requests per second; zero means no bound.
+	Burst     float64 // Requests.
+}
+
+// A Usage is what one instance admitted of a workspace.
+type Usage struct {
+	Workspace string  `cbor:"workspace"`
+	Admitted  float64 `cbor:"admitted"` // Since the instance started.
+	Demand    float64 `cbor:"demand"`   // Requests per second that asked, admitted or not.
+	Level     float64 `cbor:"level"`    // Tokens that the instance believes to be left.
+}
+
+// A Decision says whether a request is admitted.
+type Decision struct {
+	Admitted   bool
+	Level      float64       // Tokens believed to be left, for the log.
+	Share      float64       // Part of the refill that this instance may admit.
+	RetryAfter time.Duration // When a token is expected.
+}
+
+// A Clock tells the time.
+type Clock interface {
+	Now() time.Time
+}
+
+// An Apportioner holds the buckets of all workspaces.
+type Apportioner struct {
+	clock  Clock
+	shards [shardCount]shard
+
+	mu      sync.RWMutex
+	members int                  // Instances that admit requests, this one included; at least 1.
+	heard   map[string]time.Time // When each peer reported last.
+}
+
+type shard struct {
+	mu       sync.Mutex
+	accounts map[string]*account // By workspace.
+}
+
+// New returns an apportioner without workspaces.
+func New(clock Clock) *Apportioner {
+	a := &Apportioner{clock: clock, members: 1, heard: map[string]time.Time{}}
+	for i := range a.shards {
+		a.shards[i].accounts = map[string]*account{}
+	}
+	return a
+}
+
+func (a *Apportioner) shard(workspace string) *shard {
+	return &a.shards[xxhash.Sum64String(workspace)%shardCount]
+}
+
+// Install takes over the contracts of a new policy. Levels are kept.
+func (a *Apportioner) Install(contracts []Contract) {
+	now := a.clock.Now()
+	standing := a.standing(now)
+	known := make(map[string]bool, len(contracts))
+	for _, c := range contracts {
+		known[c.Workspace] = true
+		s := a.shard(c.Workspace)
+		s.mu.Lock()
+		if acc, ok := s.accounts[c.Workspace]; ok {
+			acc.change(c, standing, now)
+		} else {
+			s.accounts[c.Workspace] = newAccount(c, standing, now)
+		}
+		s.mu.Unlock()
+	}
+	for i := range a.shards {
+		a.shards[i].retain(known)
+	}
+}
+
+func (s *shard) retain(known map[string]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for workspace := range s.accounts {
+		if !known[workspace] {
+			delete(s.accounts, workspace)
+		}
+	}
+}
+
+// SetMembers says which other instances admit requests.
+func (a *Apportioner) SetMembers(peers []string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.members = len(peers) + 1
+	heard := make(map[string]time.Time, len(peers))
+	for _, peer := range peers {
+		heard[peer] = a.heard[peer]
+	}
+	a.heard = heard
+}
+
+// A standing is this instance's part of the fleet.
+type standing struct {
+	members int     // Instances that admit, this one included.
+	group   float64 // Part of all contracts that this instance and the peers it hears may use.
+}
+
+func (a *Apportioner) standing(now time.Time) standing {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	together := 1
+	for _, at := range a.heard {
+		if !at.IsZero() && now.Sub(at) < heardWithin {
+			together++
+		}
+	}
+	return standing{members: a.members, group: float64(together) / float64(a.members)}
+}
+
+// Admit decides on one request of a workspace. An unknown workspace has no
+// contract and is admitted: the policy that names it bounds it.
+func (a *Apportioner) Admit(workspace string) Decision {
+	now := a.clock.Now()
+	standing := a.standing(now)
+	s := a.shard(workspace)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	acc, ok := s.accounts[workspace]
+	if !ok || acc.contract.Rate <= 0 {
+		return Decision{Admitted: true}
+	}
+	return acc.admit(standing, now)
+}
+
+// Report is the usage of all workspaces by this instance.
+func (a *Apportioner) Report() []Usage {
+	now := a.clock.Now()
+	standing := a.standing(now)
+	var usages []Usage
+	for i := range a.shards {
+		s := &a.shards[i]
+		s.mu.Lock()
+		for workspace, acc := range s.accounts {
+			if acc.contract.Rate > 0 {
+				acc.advance(standing, now)
+				usages = append(usages, Usage{Workspace: workspace, Admitted: acc.admitted, Demand: acc.demand, Level: acc.level})
+			}
+		}
+		s.mu.Unlock()
+	}
+	return usages
+}
+
+// Learn takes over the report of a peer.
+func (a *Apportioner) Learn(peer string, usages []Usage) {
+	now := a.clock.Now()
+	a.mu.Lock()
+	if _, member := a.heard[peer]; member {
+		a.heard[peer] = now
+	}
+	a.mu.Unlock()
+	standing := a.standing(now)
+	for _, u := range usages {
+		s := a.shard(u.Workspace)
+		s.mu.Lock()
+		if acc, ok := s.accounts[u.Workspace]; ok {
+			acc.learn(peer, u, standing, now)
+		}
+		s.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/internal/balancer/balancer.go
@@ -0,0 +1,167 @@
+// Package balancer places work on backend servers. It keeps the load of each
+// server, as far as this instance knows it, chooses the server of a request
+// and takes batch work back where online requests need its place.
+package balancer
+
+import (
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// Errors of a choice.
+var (
+	// ErrNoServer means that the service has no server that takes requests.
+	ErrNoServer = merry.Sentinel("no backend server is available")
+	// ErrFull means that every server has as much work as it finishes in time.
+	ErrFull = merry.Sentinel("all backend servers are full")
+)
+
+// A Class separates online requests from batch items.
+type Class int
+
+// The classes of work.
+const (
+	Online Class = iota
+	Batch
+)
+
+// A Backend is a backend server as the list of servers names it.
+type Backend struct {
+	ID            string
+	Service       string
+	Address       string // Host and port.
+	FailureDomain string
+	Slots         int   // Requests that it works on at once; at least 1.
+	Leaving       bool  // It takes no new requests.
+	StartedAt     int64 // Unix milliseconds of its start; tells a restart under the same ID.
+}
+
+// A Load counts requests in flight on a server.
+type Load struct {
+	Online int `cbor:"online"`
+	Batch  int `cbor:"batch"`
+}
+
+func (l Load) total() int { return l.Online + l.Batch }
+
+// A ServerLoad is the load that one instance puts on a server.
+type ServerLoad struct {
+	Server string `cbor:"server"`
+	Load   Load   `cbor:"load"`
+}
+
+// A Clock tells the time.
+type Clock interface {
+	Now() time.Time
+}
+
+// A Config places a balancer in the fleet.
+type Config struct {
+	Clock         Clock
+	FailureDomain string
+}
+
+// A Balancer holds the servers of all services, one shard for each service.
+type Balancer struct {
+	cfg Config
+
+	mu    sync.RWMutex // Guards the map; each pool has its own lock.
+	pools map[string]*pool
+}
+
+// New returns a balancer without servers.
+func New(cfg Config) *Balancer {
+	return &Balancer{cfg: cfg, pools: map[string]*pool{}}
+}
+
+// Install takes over the whole list of servers. The load of kept servers stays.
+func (b *Balancer) Install(backends []Backend) {
+	byService := map[string][]Backend{}
+	for _, s := range backends {
+		byService[s.Service] = append(byService[s.Service], s)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for service := range byService {
+		if b.pools[service] == nil {
+			b.pools[service] = newPool()
+		}
+	}
+	for service, p := range b.pools {
+		p.install(byService[service])
+	}
+}
+
+func (b *Balancer) pool(service string) *pool {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return b.pools[service]
+}
+
+// Servers is the number of servers of a service that take requests.
+func (b *Balancer) Servers(service string) int {
+	p := b.pool(service)
+	if p == nil {
+		return 0
+	}
+	return p.candidates()
+}
+
+// A Query describes the work that needs a server.
+type Query struct {
+	Service string
+	Class   Class
+	Exclude []string      // IDs of servers that were tried already.
+	MaxWait time.Duration // Longest expected wait for a place; beyond it the fleet counts as full.
+}
+
+// Acquire chooses a server and counts the work on it. The error wraps
+// ErrNoServer or ErrFull. The caller releases the placement.
+func (b *Balancer) Acquire(q Query) (*Placement, error) {
+	p := b.pool(q.Service)
+	if p == nil {
+		return nil, ErrNoServer
+	}
+	return p.acquire(q, b.cfg.FailureDomain, b.cfg.Clock)
+}
+
+// WaitRoom returns a channel that is closed when work of the service ends, so
+// that batch work can ask again.
+func (b *Balancer) WaitRoom(service string) <-chan struct{} {
+	p := b.pool(service)
+	if p == nil {
+		return nil
+	}
+	return p.waitRoom()
+}
+
+// LocalLoads is the load that this instance puts on each server.
+func (b *Balancer) LocalLoads() []ServerLoad {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	var loads []ServerLoad
+	for _, p := range b.pools {
+		loads = p.appendLoads(loads)
+	}
+	return loads
+}
+
+// SetPeerLoads replaces the load that another instance reported.
+func (b *Balancer) SetPeerLoads(instance string, loads []ServerLoad) {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	byServer := make(map[string]Load, len(loads))
+	for _, l := range loads {
+		byServer[l.Server] = l.Load
+	}
+	for _, p := range b.pools {
+		p.setPeerLoads(instance, byServer)
+	}
+}
+
+// ForgetPeer drops the load of an instance that is gone.
+func (b *Balancer) ForgetPeer(instance string) {
+	b.SetPeerLoads(instance, nil)
+}
--- /dev/null
+++ b/internal/balancer/pool.go
@@ -0,0 +1,228 @@
+package balancer
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// domainPenalty is the load, in parts of a server's slots, that a server of
+	// another failure domain has to have less before it is preferred: traffic
+	// between domains costs, and a request there is cut with them.
+	domainPenalty = 0.15
+	// batchReserve is the number of slots of a server that batch work leaves
+	// free, so that an online request finds a place without a wait.
+	batchReserve = 2
+	// initialDuration is the assumed time of a request before one was seen.
+	initialDuration = 500 * time.Millisecond
+	// durationWeight is the weight of the newest request in the mean duration.
+	durationWeight = 0.05
+)
+
+// A server is a backend server with what this instance knows of it. Its fields
+// are guarded by the lock of its pool.
+type server struct {
+	Backend
+	local  Load
+	peers  map[string]Load // By instance ID.
+	health health
+	batch  []*Placement // Batch work of this instance, oldest first.
+}
+
+func (s *server) load() int {
+	n := s.local.total()
+	for _, l := range s.peers {
+		n += l.total()
+	}
+	return n
+}
+
+func (s *server) onlineLoad() int {
+	n := s.local.Online
+	for _, l := range s.peers {
+		n += l.Online
+	}
+	return n
+}
+
+// A pool is the servers of one service.
+type pool struct {
+	mu       sync.Mutex
+	servers  map[string]*server
+	order    []*server // Sorted by ID.
+	duration time.Duration
+	room     chan struct{} // Closed when work ends; nil while nobody waits.
+}
+
+func newPool() *pool {
+	return &pool{servers: map[string]*server{}, duration: initialDuration}
+}
+
+func (p *pool) install(backends []Backend) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := make(map[string]*server, len(backends))
+	p.order = p.order[:0]
+	for _, declared := range backends {
+		s := p.servers[declared.ID]
+		if s == nil || s.StartedAt != declared.StartedAt || s.Address != declared.Address {
+			s = &server{peers: map[string]Load{}}
+		}
+		s.Backend = declared
+		s.Slots = max(s.Slots, 1)
+		kept[declared.ID] = s
+		p.order = append(p.order, s)
+	}
+	slices.SortFunc(p.order, func(a, b *server) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	p.servers = kept
+	p.signalRoom()
+}
+
+func (p *pool) candidates() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, s := range p.order {
+		if !s.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
+func (p *pool) acquire(q Query, domain string, clock Clock) (*Placement, error) {
+	p.mu.Lock()
+	now := clock.Now()
+	s := p.best(q, domain, now)
+	if s == nil {
+		defer p.mu.Unlock()
+		return nil, ErrNoServer
+	}
+	if q.Class == Batch && s.load() >= s.Slots-batchReserve || q.Class == Online && p.expectedWait(s) > q.MaxWait {
+		defer p.mu.Unlock()
+		return nil, ErrFull
+	}
+	placement := &Placement{Backend: s.Backend, Load: s.load(), class: q.Class, pool: p, server: s, clock: clock, startedAt: now}
+	s.health.begin(now)
+	var displaced *Placement
+	if q.Class == Batch {
+		s.local.Batch++
+		placement.displaced = make(chan struct{})
+		s.batch = append(s.batch, placement)
+	} else {
+		s.local.Online++
+		displaced = s.displace()
+	}
+	p.mu.Unlock()
+	displaced.displace()
+	return placement, nil
+}
+
+// displace chooses the batch work that has to leave because the server has
+// more work than slots. The newest goes first: it loses the least.
+func (s *server) displace() *Placement {
+	if len(s.batch) == 0 || s.load() <= s.Slots {
+		return nil
+	}
+	last := s.batch[len(s.batch)-1]
+	s.batch = s.batch[:len(s.batch)-1]
+	return last
+}
+
+// best is the server with the least load among those that are not known to
+// fail, or among all that take requests where there is no other.
+func (p *pool) best(q Query, domain string, now time.Time) *server {
+	if s := p.bestOf(q, domain, now, false); s != nil {
+		return s
+	}
+	if q.Class == Batch {
+		return nil
+	}
+	return p.bestOf(q, domain, now, true)
+}
+
+func (p *pool) bestOf(q Query, domain string, now time.Time, suspects bool) *server {
+	if len(p.order) == 0 {
+		return nil
+	}
+	var best *server
+	bestCost := 0.0
+	start := rand.IntN(len(p.order))
+	for i := range p.order {
+		s := p.order[(start+i)%len(p.order)]
+		if s.Leaving || s.health.misdirected || slices.Contains(q.Exclude, s.ID) || s.health.suspected(now) != suspects {
+			continue
+		}
+		cost := float64(s.load()) / float64(s.Slots)
+		if s.FailureDomain != domain {
+			cost += domainPenalty
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = s, cost
+		}
+	}
+	return best
+}
+
+// expectedWait is the time until the server has a place for one more online
+// request. Batch work of this instance does not count: it makes room.
+func (p *pool) expectedWait(s *server) time.Duration {
+	over := s.load() - len(s.batch) - s.Slots + 1
+	if over <= 0 {
+		return 0
+	}
+	return time.Duration(over) * p.duration / time.Duration(s.Slots)
+}
+
+func (p *pool) waitRoom() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.room == nil {
+		p.room = make(chan struct{})
+	}
+	return p.room
+}
+
+func (p *pool) signalRoom() {
+	if p.room != nil {
+		close(p.room)
+		p.room = nil
+	}
+}
+
+func (p *pool) appendLoads(loads []ServerLoad) []ServerLoad {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.order {
+		if s.local.total() > 0 {
+			loads = append(loads, ServerLoad{Server: s.ID, Load: s.local})
+		}
+	}
+	return loads
+}
+
+func (p *pool) setPeerLoads(instance string, loads map[string]Load) {
+	var displaced []*Placement
+	p.mu.Lock()
+	for _, s := range p.order {
+		l, ok := loads[s.ID]
+		if !ok {
+			delete(s.peers, instance)
+			continue
+		}
+		s.peers[instance] = l
+		displaced = append(displaced, s.displace())
+	}
+	p.signalRoom()
+	p.mu.Unlock()
+	for _, placement := range displaced {
+		placement.displace()
+	}
+}
--- /dev/null
+++ b/internal/commander/resident.go
@@ -0,0 +1,52 @@
+package commander
+
+import (
+	"context"
+	"io"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/reporter"
+	"github.com/quetzalhitch/quetzalhitch/platform"
+)
+
+// A ResidentCmd runs an instance on the platform.
+type ResidentCmd struct {
+	Settings string `arg:"--settings,env:QUETZALHITCH_CONFIG,required" placeholder:"FILE" help:"settings file of the process (TOML)"`
+}
+
+func (c *ResidentCmd) run(stdout, _ io.Writer) error {
+	return runOnPlatform(c.Settings, stdout, platform.RunEntry)
+}
+
+// A DepotCmd runs a process on a machine with a disk of the platform.
+type DepotCmd struct {
+	Settings string `arg:"--settings,env:QUETZALHITCH_CONFIG,required" placeholder:"FILE" help:"settings file of the process (TOML)"`
+}
+
+func (c *DepotCmd) run(stdout, _ io.Writer) error {
+	return runOnPlatform(c.Settings, stdout, platform.RunDepot)
+}
+
+// runOnPlatform reads the settings and runs a role until a signal. Log lines go
+// to standard output and never block.
+func runOnPlatform(path string, stdout io.Writer, role func(context.Context, platform.Settings, *logrus.Logger) error) (err error) {
+	settings, err := platform.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	out := reporter.NewBoundedWriter(stdout)
+	logCtx, endLog := context.WithCancel(context.Background())
+	written := out.Start(logCtx)
+	defer func() {
+		endLog()
+		<-written
+	}()
+	logger, err := reporter.NewLogger(reporter.LogConfig{}, out)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := untilSignal()
+	defer cancel()
+	return role(ctx, settings, logger)
+}
--- /dev/null
+++ b/internal/enroller/enroller.go
@@ -0,0 +1,266 @@
+// Package enroller keeps this instance's entry in the platform's store, bound to
+// a lease, and knows the other instances from theirs.
+package enroller
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/follower"
+	"github.com/quetzalhitch/quetzalhitch/internal/storer"
+)
+
+const (
+	// leaseTime is how long an instance counts as present after its last
+	// renewal. A killed process is back sooner than that.
+	leaseTime = 4 * time.Second
+	// renewPeriod leaves three renewals within leaseTime.
+	renewPeriod = 1300 * time.Millisecond
+	// retryPeriod is the pause after a failed call.
+	retryPeriod = 400 * time.Millisecond
+	// reservedTime is how long the part of an instance that vanished without
+	// leaving is kept for it: it may be cut off and still serve its callers.
+	reservedTime = 12 * time.Second
+	// HoldRemovals is how long an instance whose lease ended while the store
+	// was away may take to enroll again.
+	HoldRemovals = 3 * time.Second
+)
+
+// A Member is an instance of the system.
+type Member struct {
+	ID            string `cbor:"id"`
+	Incarnation   string `cbor:"incarnation"` // Drawn anew at each start.
+	LinkAddress   string `cbor:"link-address"`
+	FailureDomain string `cbor:"failure-domain"`
+	Leaving       bool   `cbor:"leaving"` // It hands over what it holds.
+}
+
+// A Store is the part of the platform's store that an enroller needs.
+type Store interface {
+	Commit(ctx context.Context, t storer.Transaction) (version int64, err error)
+	GrantLease(ctx context.Context, ttl time.Duration) (storer.Lease, error)
+	RenewLease(ctx context.Context, lease storer.Lease) (storer.Lease, error)
+}
+
+// A Config describes this instance.
+type Config struct {
+	Self   Member
+	Prefix string // Of the keys of all instances.
+	Store  Store
+	Clock  storer.Clock
+	Logger logrus.FieldLogger
+	// Changed is called after each change of the membership, never concurrently.
+	Changed func(m Membership)
+}
+
+// A Membership is the instances that are known.
+type Membership struct {
+	Peers    []Member // Without this instance; sorted by ID.
+	Reserved []string // IDs of instances that vanished without leaving, for which a part of all contracts is kept.
+}
+
+// An Enroller holds this instance's entry.
+type Enroller struct {
+	cfg Config
+
+	mu         sync.Mutex
+	self       Member
+	lease      storer.Lease
+	enrolled   bool
+	peers      map[string]Member
+	vanishedAt map[string]time.Time // By ID.
+
+	notify sync.Mutex // Held during Changed.
+	wake   chan struct{}
+}
+
+// New returns an enroller that is not enrolled yet.
+func New(cfg Config) *Enroller {
+	return &Enroller{
+		cfg:        cfg,
+		self:       cfg.Self,
+		peers:      map[string]Member{},
+		vanishedAt: map[string]time.Time{},
+		wake:       make(chan struct{}, 1),
+	}
+}
+
+// Start enrolls this instance and renews its lease until the context ends. The
+// entry is removed at the end.
+func (e *Enroller) Start(ctx context.Context) <-chan error {
+	ended := make(chan error, 1)
+	var group conc.WaitGroup
+	group.Go(func() {
+		defer close(ended)
+		for ctx.Err() == nil {
+			e.pause(ctx, e.step(ctx))
+		}
+		ended <- e.withdraw(context.WithoutCancel(ctx))
+	})
+	return ended
+}
+
+func (e *Enroller) pause(ctx context.Context, d time.Duration) {
+	done := make(chan struct{})
+	timer := e.cfg.Clock.AfterFunc(d, func() { close(done) })
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-done:
+	case <-e.wake:
+	}
+}
+
+// step enrolls or renews, and returns the time until the next step.
+func (e *Enroller) step(ctx context.Context) time.Duration {
+	e.expire()
+	e.mu.Lock()
+	lease, enrolled := e.lease, e.enrolled
+	e.mu.Unlock()
+	if enrolled {
+		renewed, err := e.cfg.Store.RenewLease(ctx, lease)
+		switch {
+		case err == nil:
+			e.mu.Lock()
+			e.lease = renewed
+			e.mu.Unlock()
+			return renewPeriod
+		case !errors.Is(err, storer.ErrLeaseExpired):
+			return retryPeriod
+		}
+		e.cfg.Logger.WithField("lease", lease.ID).Warn("lease ended, enrolling anew")
+	}
+	if err := e.enroll(ctx); err != nil {
+		if ctx.Err() == nil {
+			e.cfg.Logger.WithError(err).Warn("not enrolled")
+		}
+		return retryPeriod
+	}
+	return renewPeriod
+}
+
+func (e *Enroller) key() string { return e.cfg.Prefix + e.cfg.Self.ID }
+
+func (e *Enroller) enroll(ctx context.Context) (err error) {
+	defer func() { err = merry.Prepend(err, "enroll") }()
+	e.mu.Lock()
+	e.enrolled = false
+	self := e.self
+	e.mu.Unlock()
+	lease, err := e.cfg.Store.GrantLease(ctx, leaseTime)
+	if err != nil {
+		return err
+	}
+	value, err := cbor.Marshal(self)
+	if err != nil {
+		return err
+	}
+	_, err = e.cfg.Store.Commit(ctx, storer.Transaction{Writes: []storer.Write{{Key: e.key(), Value: value, LeaseID: lease.ID}}})
+	if err != nil {
+		return err
+	}
+	e.mu.Lock()
+	e.lease, e.enrolled = lease, true
+	e.mu.Unlock()
+	e.cfg.Logger.WithFields(logrus.Fields{"lease": lease.ID, "leaving": self.Leaving}).Info("enrolled")
+	return nil
+}
+
+// Leave tells the others that this instance hands over what it holds.
+func (e *Enroller) Leave() {
+	e.mu.Lock()
+	e.self.Leaving = true
+	e.enrolled = false
+	e.mu.Unlock()
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+// withdraw removes the entry.
+func (e *Enroller) withdraw(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, retryPeriod)
+	defer cancel()
+	_, err := e.cfg.Store.Commit(ctx, storer.Transaction{Remove: []string{e.key()}})
+	return merry.Prepend(err, "withdraw the entry")
+}
+
+// Follow takes over the entries of all instances.
+func (e *Enroller) Follow(c follower.Copy) {
+	now := e.cfg.Clock.Now()
+	e.mu.Lock()
+	present := map[string]bool{}
+	for _, entry := range c.Entries {
+		var m Member
+		if err := cbor.Unmarshal(entry.Value, &m); err != nil || m.ID != strings.TrimPrefix(entry.Key, e.cfg.Prefix) {
+			e.cfg.Logger.WithField("key", entry.Key).Warn("entry of an instance cannot be read")
+			continue
+		}
+		present[m.ID] = true
+		if m.ID != e.cfg.Self.ID {
+			e.peers[m.ID] = m
+			delete(e.vanishedAt, m.ID)
+		}
+	}
+	for id, m := range e.peers {
+		if present[id] {
+			continue
+		}
+		delete(e.peers, id)
+		if !m.Leaving {
+			e.vanishedAt[id] = now
+		}
+	}
+	e.mu.Unlock()
+	e.changed()
+}
+
+// expire ends the reservations whose time is over.
+func (e *Enroller) expire() {
+	now := e.cfg.Clock.Now()
+	e.mu.Lock()
+	ended := false
+	for id, at := range e.vanishedAt {
+		if now.Sub(at) > reservedTime {
+			delete(e.vanishedAt, id)
+			ended = true
+		}
+	}
+	e.mu.Unlock()
+	if ended {
+		e.changed()
+	}
+}
+
+func (e *Enroller) changed() {
+	e.notify.Lock()
+	defer e.notify.Unlock()
+	m := e.Membership()
+	e.cfg.Logger.WithFields(logrus.Fields{"peers": len(m.Peers), "reserved": len(m.Reserved)}).Info("membership changed")
+	e.cfg.Changed(m)
+}
+
+// Membership is the instances that are known now.
+func (e *Enroller) Membership() Membership {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	m := Membership{}
+	for _, peer := range e.peers {
+		m.Peers = append(m.Peers, peer)
+	}
+	slices.SortFunc(m.Peers, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
+	for id := range e.vanishedAt {
+		m.Reserved = append(m.Reserved, id)
+	}
+	return m
+}
--- /dev/null
+++ b/internal/follower/follower.go
@@ -0,0 +1,294 @@
+// Package follower keeps a copy of the keys below a prefix of the platform's
+// store. It lists them once and then waits for changes. Where the store cannot
+// be reached it takes over the copy of another instance.
+package follower
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/storer"
+)
+
+const (
+	// watchTime is how long one watch waits. A waiting watch counts as one call,
+	// so it is as long as the platform allows.
+	watchTime = 30 * time.Second
+	// minRetry and maxRetry bound the pause after a failed call. The longest
+	// leaves three tries within the two seconds in which servers re-register.
+	minRetry = 100 * time.Millisecond
+	maxRetry = 700 * time.Millisecond
+)
+
+// A Store is the part of the platform's store that a follower needs.
+type Store interface {
+	List(ctx context.Context, prefix string) (storer.Listing, error)
+	// Watch waits for changes after a version. It returns the version up to
+	// which the changes are complete.
+	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (changes []storer.Change, version int64, err error)
+}
+
+// A Copy is the keys below a prefix at one version of the store.
+type Copy struct {
+	Entries []storer.Entry `cbor:"entries"`
+	Version int64          `cbor:"version"`
+}
+
+// A Config says what is followed.
+type Config struct {
+	Name   string // For the log.
+	Prefix string
+	Store  Store
+	Clock  storer.Clock
+	Logger logrus.FieldLogger
+	// HoldRemovals is how long a key that vanished while the store was away is
+	// kept after the return of the store; its owner may write it again.
+	HoldRemovals time.Duration
+	// Changed is called after each change of the copy, never concurrently.
+	Changed func(c Copy)
+}
+
+// A Follower holds a copy.
+type Follower struct {
+	cfg Config
+
+	mu         sync.Mutex
+	entries    map[string]storer.Entry
+	version    int64 // Of the store; zero before the first listing.
+	connected  bool
+	returnedAt time.Time            // When the store came back last; zero before the first loss.
+	held       map[string]time.Time // Keys that are removed at a time.
+
+	notify sync.Mutex // Held during Changed, so that calls come in order.
+}
+
+// New returns a follower without a copy.
+func New(cfg Config) *Follower {
+	return &Follower{cfg: cfg, entries: map[string]storer.Entry{}, held: map[string]time.Time{}}
+}
+
+// Start follows the store until the context ends. The channel reports the end.
+func (f *Follower) Start(ctx context.Context) <-chan error {
+	ended := make(chan error, 1)
+	var group conc.WaitGroup
+	group.Go(func() {
+		defer close(ended)
+		f.follow(ctx)
+		ended <- nil
+	})
+	return ended
+}
+
+func (f *Follower) follow(ctx context.Context) {
+	pause := minRetry
+	for ctx.Err() == nil {
+		err := f.step(ctx)
+		if err == nil {
+			pause = minRetry
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		f.lost(err)
+		wait(ctx, f.cfg.Clock, pause)
+		pause = min(2*pause, maxRetry)
+	}
+}
+
+func wait(ctx context.Context, clock storer.Clock, d time.Duration) {
+	done := make(chan struct{})
+	timer := clock.AfterFunc(d, func() { close(done) })
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-done:
+	}
+}
+
+// step lists the keys, or waits for changes where a copy is there.
+func (f *Follower) step(ctx context.Context) error {
+	after, listed := f.position()
+	if !listed {
+		listing, err := f.cfg.Store.List(ctx, f.cfg.Prefix)
+		if err != nil {
+			return err
+		}
+		f.replace(listing)
+		return nil
+	}
+	changes, version, err := f.cfg.Store.Watch(ctx, f.cfg.Prefix, after, f.nextWait())
+	if errors.Is(err, storer.ErrHistoryLost) {
+		f.cfg.Logger.WithFields(logrus.Fields{"follows": f.cfg.Name, "version": after}).Warn("history lost, listing anew")
+		f.mu.Lock()
+		f.connected = false
+		f.mu.Unlock()
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	f.apply(changes, version)
+	return nil
+}
+
+// position is the version after which to watch, and whether the copy can be
+// continued by a watch.
+func (f *Follower) position() (version int64, listed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.version, f.connected
+}
+
+// nextWait ends a watch when a held key is due.
+func (f *Follower) nextWait() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	d := watchTime
+	now := f.cfg.Clock.Now()
+	for _, at := range f.held {
+		d = min(d, max(at.Sub(now), time.Millisecond))
+	}
+	return d.Round(time.Millisecond)
+}
+
+func (f *Follower) lost(err error) {
+	f.mu.Lock()
+	was := f.connected
+	f.connected = false
+	version := f.version
+	f.returnedAt = time.Time{}
+	f.mu.Unlock()
+	if was {
+		f.cfg.Logger.WithError(err).WithFields(logrus.Fields{"follows": f.cfg.Name, "version": version}).Warn("platform store lost")
+	}
+}
+
+// replace takes over a listing. Keys that vanished while the store was away are
+// held for a while.
+func (f *Follower) replace(l storer.Listing) {
+	f.mu.Lock()
+	first := f.version == 0
+	now := f.cfg.Clock.Now()
+	f.connected = true
+	f.returnedAt = now
+	f.version = l.Version
+	present := make(map[string]bool, len(l.Entries))
+	for _, e := range l.Entries {
+		present[e.Key] = true
+		f.put(e)
+	}
+	for key := range f.entries {
+		if !present[key] {
+			f.drop(key, now)
+		}
+	}
+	n := len(f.entries)
+	f.mu.Unlock()
+	f.cfg.Logger.WithFields(logrus.Fields{"follows": f.cfg.Name, "version": l.Version, "keys": n, "first": first}).Info("platform store listed")
+	f.changed()
+}
+
+func (f *Follower) put(e storer.Entry) {
+	delete(f.held, e.Key)
+	if known, ok := f.entries[e.Key]; !ok || known.Version < e.Version {
+		f.entries[e.Key] = e
+	}
+}
+
+// drop removes a key, or holds it where its owner may be about to write it
+// again.
+func (f *Follower) drop(key string, now time.Time) {
+	due := f.returnedAt.Add(f.cfg.HoldRemovals)
+	if f.cfg.HoldRemovals > 0 && now.Before(due) {
+		if _, ok := f.entries[key]; ok {
+			f.held[key] = due
+		}
+		return
+	}
+	delete(f.entries, key)
+	delete(f.held, key)
+}
+
+func (f *Follower) apply(changes []storer.Change, version int64) {
+	f.mu.Lock()
+	now := f.cfg.Clock.Now()
+	changed := false
+	for _, c := range changes {
+		changed = true
+		switch {
+		case !c.Removed:
+			f.put(c.Entry)
+		case f.entries[c.Key].Version < c.Version:
+			f.drop(c.Key, now)
+		}
+	}
+	for key, at := range f.held {
+		if !now.Before(at) {
+			delete(f.entries, key)
+			delete(f.held, key)
+			changed = true
+		}
+	}
+	f.version = max(f.version, version)
+	f.mu.Unlock()
+	if changed {
+		f.changed()
+	}
+}
+
+func (f *Follower) changed() {
+	f.notify.Lock()
+	defer f.notify.Unlock()
+	f.cfg.Changed(f.Copy())
+}
+
+// Copy is the present copy.
+func (f *Follower) Copy() Copy {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := Copy{Version: f.version, Entries: make([]storer.Entry, 0, len(f.entries))}
+	for _, e := range f.entries {
+		c.Entries = append(c.Entries, e)
+	}
+	return c
+}
+
+// Version is the version of the store that the copy reflects.
+func (f *Follower) Version() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.version
+}
+
+// Connected reports whether the copy comes from the store itself.
+func (f *Follower) Connected() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.connected
+}
+
+// Offer takes over the copy of another instance if the store cannot be reached
+// and the copy is newer. It reports whether it did.
+func (f *Follower) Offer(c Copy) bool {
+	f.mu.Lock()
+	if f.connected || c.Version <= f.version {
+		f.mu.Unlock()
+		return false
+	}
+	f.version = c.Version
+	f.entries = make(map[string]storer.Entry, len(c.Entries))
+	for _, e := range c.Entries {
+		f.entries[e.Key] = e
+	}
+	f.held = map[string]time.Time{}
+	f.mu.Unlock()
+	f.cfg.Logger.WithFields(logrus.Fields{"follows": f.cfg.Name, "version": c.Version, "keys": len(c.Entries)}).Info("copy of another instance taken over")
+	f.changed()
+	return true
+}
--- /dev/null
+++ b/internal/gossiper/gossiper.go
@@ -0,0 +1,294 @@
+// Package gossiper exchanges with the peers what each instance admitted and
+// which load it puts on backend servers, and fetches copies of the store from
+// peers that have newer ones.
+package gossiper
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/apportioner"
+	"github.com/quetzalhitch/quetzalhitch/internal/balancer"
+	"github.com/quetzalhitch/quetzalhitch/internal/follower"
+	"github.com/quetzalhitch/quetzalhitch/internal/linker"
+	"github.com/quetzalhitch/quetzalhitch/internal/storer"
+)
+
+const (
+	// minPeriod is the time between two exchanges with a peer.
+	minPeriod = 150 * time.Millisecond
+	// maxPeriod leaves two exchanges within the silence after which a peer
+	// counts as cut off.
+	maxPeriod = 320 * time.Millisecond
+	// peersPerPeriod is the number of peers up to which the period is minPeriod;
+	// with more, it grows with them.
+	peersPerPeriod = 8
+	// exchangeTimeout bounds one exchange.
+	exchangeTimeout = 400 * time.Millisecond
+	// copyTimeout bounds the transfer of a copy.
+	copyTimeout = 2 * time.Second
+	// loadLifetime is how long a peer's load counts without a new report.
+	loadLifetime = 2 * time.Second
+)
+
+// A Report is what an instance tells its peers.
+type Report struct {
+	Loads    []balancer.ServerLoad `cbor:"loads"`
+	Usages   []apportioner.Usage   `cbor:"usages"`
+	Versions map[string]int64      `cbor:"versions"` // Of the copies of the store, by name.
+}
+
+// A copyRequest asks for a copy by name.
+type copyRequest struct {
+	Name string `cbor:"name"`
+}
+
+// Links are the links to the peers. *linker.Linker satisfies it.
+type Links interface {
+	Call(ctx context.Context, peer string, kind linker.Kind, request, response any) error
+	Handle(kind linker.Kind, h linker.Handler)
+}
+
+// A Source keeps a copy of a part of the store.
+type Source interface {
+	Copy() follower.Copy
+	Offer(c follower.Copy) bool
+	Version() int64
+	Connected() bool
+}
+
+// A Config holds what a gossiper needs.
+type Config struct {
+	Self     string // Instance ID.
+	Links    Links
+	Balancer *balancer.Balancer
+	Quotas   *apportioner.Apportioner
+	Sources  map[string]Source // By name.
+	Clock    storer.Clock
+	Logger   logrus.FieldLogger
+}
+
+// A Gossiper exchanges reports.
+type Gossiper struct {
+	cfg Config
+
+	mu       sync.Mutex
+	peers    map[string]*peer // By instance ID.
+	fetching map[string]bool  // Names of copies that are being fetched.
+	group    conc.WaitGroup
+}
+
+// A peer is an instance that reports are exchanged with.
+type peer struct {
+	heardAt time.Time
+	counted bool // Its load is counted.
+	heard   bool // The last exchange succeeded.
+}
+
+// New registers the handlers of a gossiper. It is called before the links start.
+func New(cfg Config) *Gossiper {
+	g := &Gossiper{cfg: cfg, peers: map[string]*peer{}, fetching: map[string]bool{}}
+	cfg.Links.Handle(linker.KindReport, linker.HandlerFunc(g.handleReport))
+	cfg.Links.Handle(linker.KindCopy, linker.HandlerFunc(g.handleCopy))
+	return g
+}
+
+// SetPeers says with whom reports are exchanged.
+func (g *Gossiper) SetPeers(ids []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	peers := make(map[string]*peer, len(ids))
+	for _, id := range ids {
+		peers[id] = g.peers[id]
+		if peers[id] == nil {
+			peers[id] = &peer{}
+		}
+		delete(g.peers, id)
+	}
+	for id, p := range g.peers {
+		if p.counted {
+			g.cfg.Balancer.ForgetPeer(id)
+		}
+	}
+	g.peers = peers
+}
+
+// Start exchanges reports until the context ends.
+func (g *Gossiper) Start(ctx context.Context) <-chan error {
+	ended := make(chan error, 1)
+	var loop conc.WaitGroup
+	loop.Go(func() {
+		defer close(ended)
+		for ctx.Err() == nil {
+			period := g.round(ctx)
+			pause(ctx, g.cfg.Clock, period)
+		}
+		g.group.Wait()
+		ended <- nil
+	})
+	return ended
+}
+
+func pause(ctx context.Context, clock storer.Clock, d time.Duration) {
+	done := make(chan struct{})
+	timer := clock.AfterFunc(d, func() { close(done) })
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-done:
+	}
+}
+
+// round begins an exchange with each peer that this instance calls: of two
+// instances, the one with the lower ID calls the other.
+func (g *Gossiper) round(ctx context.Context) time.Duration {
+	now := g.cfg.Clock.Now()
+	var calls []string
+	var silent []string
+	g.mu.Lock()
+	n := len(g.peers)
+	for id, p := range g.peers {
+		if g.cfg.Self < id {
+			calls = append(calls, id)
+		}
+		if p.counted && now.Sub(p.heardAt) > loadLifetime {
+			p.counted = false
+			silent = append(silent, id)
+		}
+	}
+	g.mu.Unlock()
+	for _, id := range silent {
+		g.cfg.Balancer.ForgetPeer(id)
+		g.cfg.Logger.WithField("peer", id).Warn("peer is silent, its load is not counted any more")
+	}
+	if len(calls) > 0 {
+		report := g.report()
+		for _, id := range calls {
+			g.group.Go(func() { g.exchange(ctx, id, report) })
+		}
+	}
+	return min(max(minPeriod, minPeriod*time.Duration(n)/peersPerPeriod), maxPeriod)
+}
+
+func (g *Gossiper) report() Report {
+	r := Report{Loads: g.cfg.Balancer.LocalLoads(), Usages: g.cfg.Quotas.Report(), Versions: map[string]int64{}}
+	for name, source := range g.cfg.Sources {
+		r.Versions[name] = source.Version()
+	}
+	return r
+}
+
+func (g *Gossiper) exchange(ctx context.Context, id string, own Report) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	var theirs Report
+	if err := g.cfg.Links.Call(ctx, id, linker.KindReport, own, &theirs); err != nil {
+		g.failed(ctx, id, err)
+		return
+	}
+	g.learn(id, theirs)
+}
+
+// failed logs the loss of a peer once.
+func (g *Gossiper) failed(ctx context.Context, id string, err error) {
+	g.mu.Lock()
+	p := g.peers[id]
+	lost := p != nil && p.heard
+	if lost {
+		p.heard = false
+	}
+	g.mu.Unlock()
+	if lost && ctx.Err() == nil {
+		g.cfg.Logger.WithError(err).WithField("peer", id).Warn("peer lost")
+	}
+}
+
+func (g *Gossiper) learn(id string, r Report) {
+	g.mu.Lock()
+	p := g.peers[id]
+	if p == nil {
+		g.mu.Unlock()
+		return
+	}
+	regained := !p.heard
+	p.heardAt, p.counted, p.heard = g.cfg.Clock.Now(), true, true
+	g.mu.Unlock()
+	if regained {
+		g.cfg.Logger.WithField("peer", id).Info("peer heard")
+	}
+	g.cfg.Balancer.SetPeerLoads(id, r.Loads)
+	g.cfg.Quotas.Learn(id, r.Usages)
+	g.fetchNewer(id, r.Versions)
+}
+
+// Heard reports whether the last exchange with a peer succeeded.
+func (g *Gossiper) Heard(id string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := g.peers[id]
+	return p != nil && p.heard
+}
+
+// fetchNewer asks a peer for the copies that are newer than those here, where
+// the store itself cannot be reached.
+func (g *Gossiper) fetchNewer(id string, versions map[string]int64) {
+	for name, source := range g.cfg.Sources {
+		if source.Connected() || versions[name] <= source.Version() || !g.beginFetch(name) {
+			continue
+		}
+		g.group.Go(func() { g.fetch(id, name, source) })
+	}
+}
+
+func (g *Gossiper) beginFetch(name string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.fetching[name] {
+		return false
+	}
+	g.fetching[name] = true
+	return true
+}
+
+func (g *Gossiper) fetch(id, name string, source Source) {
+	defer func() {
+		g.mu.Lock()
+		delete(g.fetching, name)
+		g.mu.Unlock()
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), copyTimeout)
+	defer cancel()
+	var c follower.Copy
+	if err := g.cfg.Links.Call(ctx, id, linker.KindCopy, copyRequest{Name: name}, &c); err != nil {
+		g.cfg.Logger.WithError(err).WithFields(logrus.Fields{"peer": id, "copy": name}).Warn("copy not fetched")
+		return
+	}
+	source.Offer(c)
+}
+
+func (g *Gossiper) handleReport(_ context.Context, sender string, payload []byte) ([]byte, error) {
+	var r Report
+	if err := linker.Unmarshal(payload, &r); err != nil {
+		return nil, err
+	}
+	own := g.report() // Before learning, so that nothing of theirs is in it.
+	g.learn(sender, r)
+	return linker.Marshal(own)
+}
+
+func (g *Gossiper) handleCopy(_ context.Context, _ string, payload []byte) ([]byte, error) {
+	var q copyRequest
+	if err := linker.Unmarshal(payload, &q); err != nil {
+		return nil, err
+	}
+	source, ok := g.cfg.Sources[q.Name]
+	if !ok {
+		return nil, merry.Errorf("no copy is called %q", q.Name)
+	}
+	return linker.Marshal(source.Copy())
+}
--- /dev/null
+++ b/internal/jobkeeper/sweep.go
@@ -0,0 +1,140 @@
+package jobkeeper
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/enroller"
+	"github.com/quetzalhitch/quetzalhitch/internal/storer"
+)
+
+const (
+	// sweepPeriod is the time between looks at the records of all jobs without
+	// cause.
+	sweepPeriod = 20 * time.Second
+	// sweepDelay gathers the causes of a look: members come and go in groups.
+	sweepDelay = 400 * time.Millisecond
+	// sweepRetry is the pause after a look that failed.
+	sweepRetry = time.Second
+)
+
+// sweepLoop looks for jobs without owner when members change, and now and then.
+func (k *Keeper) sweepLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		period := sweepPeriod
+		if err := k.sweep(ctx); err != nil && ctx.Err() == nil {
+			k.cfg.Logger.WithError(err).Warn("records of jobs cannot be listed")
+			period = sweepRetry
+		}
+		k.awaitSweep(ctx, period)
+	}
+}
+
+func (k *Keeper) awaitSweep(ctx context.Context, period time.Duration) {
+	done := make(chan struct{})
+	timer := k.cfg.Clock.AfterFunc(period, func() { close(done) })
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return
+	case <-done:
+		return
+	case <-k.sweeps:
+	}
+	k.sleep(sweepDelay)
+	select {
+	case <-k.sweeps:
+	default:
+	}
+}
+
+// sweep takes over the open jobs that fall to this instance, and removes those
+// whose results are not kept any longer.
+func (k *Keeper) sweep(ctx context.Context) error {
+	if k.isLeaving() {
+		return nil
+	}
+	listing, err := k.cfg.Store.List(ctx, k.key("run/"))
+	if err != nil {
+		return err
+	}
+	for _, entry := range listing.Entries {
+		id := strings.TrimPrefix(entry.Key, k.key("run/"))
+		var r Record
+		if err := cbor.Unmarshal(entry.Value, &r); err != nil {
+			k.log(id).WithError(err).Warn("record of a job cannot be read")
+			continue
+		}
+		switch {
+		case k.now().Sub(r.SubmittedAt) > k.cfg.Retention:
+			if k.heir(id) == k.cfg.Self.ID {
+				k.remove(ctx, id, r, entry.Version)
+			}
+		case !r.Done && !k.hasEnded(id) && k.falls(id, r):
+			if err := k.takeOver(ctx, id, r, entry.Version); err != nil && !errors.Is(err, storer.ErrConflict) {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// falls reports whether a job is this instance's to run.
+func (k *Keeper) falls(id string, r Record) bool {
+	if _, ok := k.owned(id); ok {
+		return false
+	}
+	if r.Owner == k.cfg.Self.ID {
+		return true // From before a restart, or by a write whose answer was lost.
+	}
+	k.mu.Lock()
+	owner, present := k.members[r.Owner]
+	k.mu.Unlock()
+	if present && owner.Incarnation == r.Incarnation && !owner.Leaving {
+		return false
+	}
+	if present && !owner.Leaving {
+		return false // The owner has started anew and takes its jobs up again.
+	}
+	return k.heir(id) == k.cfg.Self.ID
+}
+
+// heir is the instance that a job without owner falls to: all instances with
+// the same membership choose the same.
+func (k *Keeper) heir(id string) string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	best, bestHash := k.cfg.Self.ID, xxhash.Sum64String(id+"\x00"+k.cfg.Self.ID)
+	for _, m := range k.members {
+		if h := xxhash.Sum64String(id + "\x00" + m.ID); h > bestHash && canOwn(m) {
+			best, bestHash = m.ID, h
+		}
+	}
+	return best
+}
+
+func canOwn(m enroller.Member) bool { return !m.Leaving }
+
+// remove deletes a job whose results are not kept any longer.
+func (k *Keeper) remove(ctx context.Context, id string, r Record, version int64) {
+	t := storer.Transaction{
+		Expect: []storer.Expectation{{Key: k.key(recordKey(id)), Version: version}},
+		Remove: []string{k.key(recordKey(id)), k.key(manifestKey(id)), k.cfg.EndPrefix + id},
+	}
+	for n := range r.Segments {
+		t.Remove = append(t.Remove, k.key(segmentKey(id, n)))
+	}
+	if _, err := k.cfg.Store.Commit(ctx, t); err != nil {
+		k.log(id).WithError(err).Warn("expired job not removed")
+		return
+	}
+	if j, ok := k.owned(id); ok {
+		k.drop(j)
+	}
+	k.log(id).Info("expired job removed")
+}
--- a/internal/linker/authority.go
+++ b/internal/linker/authority.go
@@ -150,3 +150,41 @@
 func encodePEM(kind string, der []byte) []byte {
 	return pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
 }
+
+// Export encodes the authority with its key, for a store that only the
+// instances of one fleet read.
+func (a *Authority) Export() (data []byte, err error) {
+	defer func() { err = merry.Prepend(err, "export the certificate authority") }()
+	key, err := x509.MarshalPKCS8PrivateKey(a.key)
+	if err != nil {
+		return nil, err
+	}
+	return Marshal(exportedAuthority{Certificate: a.Certificate.Raw, Key: key})
+}
+
+type exportedAuthority struct {
+	Certificate []byte `cbor:"certificate"`
+	Key         []byte `cbor:"key"`
+}
+
+// ImportAuthority decodes an exported authority.
+func ImportAuthority(data []byte) (a *Authority, err error) {
+	defer func() { err = merry.Prepend(err, "import a certificate authority") }()
+	var exported exportedAuthority
+	if err := Unmarshal(data, &exported); err != nil {
+		return nil, err
+	}
+	certificate, err := x509.ParseCertificate(exported.Certificate)
+	if err != nil {
+		return nil, err
+	}
+	parsed, err := x509.ParsePKCS8PrivateKey(exported.Key)
+	if err != nil {
+		return nil, err
+	}
+	key, ok := parsed.(*ecdsa.PrivateKey)
+	if !ok {
+		return nil, merry.Errorf("key of the authority is a %T", parsed)
+	}
+	return &Authority{Certificate: certificate, key: key}, nil
+}
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -41,10 +41,13 @@
 // The kinds of messages between entry instances.
 const (
 	KindBorrow          Kind = "borrow"
+	KindCopy            Kind = "copy"
 	KindHeartbeat       Kind = "heartbeat"
+	KindJob             Kind = "job"
 	KindObjectGet       Kind = "object-get"
 	KindObjectPut       Kind = "object-put"
 	KindPromise         Kind = "promise"
+	KindReport          Kind = "report"
 	KindReturn          Kind = "return"
 	KindSnapshot        Kind = "snapshot"
 	KindSnapshotRequest Kind = "snapshot-request"
--- a/internal/sender/answer.go
+++ b/internal/sender/answer.go
@@ -52,15 +52,23 @@
 
 func (e *exchange) newAnswer() *Answer {
 	a := &Answer{Status: e.answer.StatusCode()}
+	keep := e.request.KeepField
+	if keep == nil {
+		keep = isAnswerHeader
+	}
 	for name, value := range e.answer.Header.All() {
 		field := Field{Name: string(name), Value: string(value)}
-		if slices.ContainsFunc(answerHeaders, func(h string) bool { return strings.EqualFold(h, field.Name) }) {
+		if keep(field.Name) {
 			a.Header = append(a.Header, field)
 		}
 	}
 	return a
 }
 
+func isAnswerHeader(name string) bool {
+	return slices.ContainsFunc(answerHeaders, func(h string) bool { return strings.EqualFold(h, name) })
+}
+
 func (e *exchange) newStream() *Answer {
 	a := e.newAnswer()
 	a.Stream = true
--- a/internal/sender/conn.go
+++ b/internal/sender/conn.go
@@ -18,6 +18,12 @@
 	*net.TCPConn
 	silence atomic.Int64 // Nanoseconds that one read may wait.
 	used    bool         // It has carried an exchange before.
+
+	idleSince time.Time // End of its last exchange; only the holder of the connection uses it.
+}
+
+func (c *conn) idleLongerThan(bound time.Duration) bool {
+	return bound > 0 && time.Since(c.idleSince) > bound
 }
 
 func (c *conn) allowSilence(d time.Duration) {
--- a/internal/sender/exchange.go
+++ b/internal/sender/exchange.go
@@ -30,6 +30,18 @@
 	FirstByte time.Duration // Longest wait for the answer to begin.
 	Progress  time.Duration // Longest silence after that.
 	NeedsDone bool          // A stream is whole only if it ends with [DONE].
+
+	Host    string        // Host field; empty means Address.
+	MaxIdle time.Duration // A kept connection that was idle for longer is not used; zero means no bound.
+	// Echo is a field that a server repeats in its answer. An answer with
+	// another value belongs to an earlier request and is passed over.
+	Echo Field
+	// KeepField says which header fields of the answer are kept; nil keeps
+	// those of answerHeaders.
+	KeepField func(name string) bool
+	// Unframed allows an answer without declared end, which is whole when the
+	// server closes the connection in order.
+	Unframed bool
 }
 
 // An exchange is one request on one connection and its answer.
@@ -88,7 +100,7 @@
 			return err
 		}
 		e.conn = pooled.Conn().(*conn)
-		if e.conn.used && e.conn.stale() {
+		if e.conn.used && (e.conn.idleLongerThan(e.request.MaxIdle) || e.conn.stale()) {
 			e.client.CloseConn(pooled)
 			continue
 		}
@@ -98,6 +110,7 @@
 				return
 			}
 			e.conn.used = true
+			e.conn.idleSince = time.Now()
 			e.client.ReleaseConn(pooled)
 		}
 		return nil
@@ -111,9 +124,7 @@
 	e.conn.allowSilence(e.request.FirstByte)
 	e.reader = e.client.AcquireReader(e.conn)
 	e.answer = fasthttp.AcquireResponse()
-	e.answer.StreamBody = true
-	e.answer.SkipBody = e.request.Method == fasthttp.MethodHead
-	if err := e.answer.ReadLimitBody(e.reader, 0); err != nil {
+	if err := e.readHead(); err != nil {
 		return nil, err
 	}
 	e.conn.allowSilence(e.request.Progress)
@@ -123,15 +134,48 @@
 	return e.readWhole()
 }
 
+// readHead reads the head of the answer to this request. It passes over
+// maxForeignAnswers answers to earlier ones.
+func (e *exchange) readHead() error {
+	for range maxForeignAnswers + 1 {
+		e.answer.StreamBody = true
+		e.answer.SkipBody = e.request.Method == fasthttp.MethodHead
+		if err := e.answer.ReadLimitBody(e.reader, 0); err != nil {
+			return err
+		}
+		if !e.foreign() {
+			return nil
+		}
+		if stream := e.answer.BodyStream(); stream != nil {
+			if _, err := io.Copy(io.Discard, io.LimitReader(stream, int64(e.cfg.MaxAnswerBytes))); err != nil {
+				return err
+			}
+		}
+		_ = e.answer.CloseBodyStream()
+		e.answer.Reset()
+	}
+	return errForeign
+}
+
+// foreign reports whether the answer names another request than this one.
+func (e *exchange) foreign() bool {
+	if e.request.Echo.Name == "" {
+		return false
+	}
+	echoed := e.answer.Header.Peek(e.request.Echo.Name)
+	return len(echoed) > 0 && string(echoed) != e.request.Echo.Value
+}
+
 func (e *exchange) write() error {
 	r := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(r)
 	r.Header.SetMethod(e.request.Method)
-	r.Header.SetHost(e.request.Address)
+	r.Header.SetHost(e.host())
+	r.UseHostHeader = true
 	r.Header.SetRequestURI(e.target())
 	r.Header.SetNoDefaultContentType(true)
 	for _, f := range e.request.Header {
-		r.Header.Set(f.Name, f.Value)
+		r.Header.Add(f.Name, f.Value)
 	}
 	r.SetBodyRaw(e.request.Body)
 
@@ -146,6 +190,13 @@
 	return w.Flush()
 }
 
+func (e *exchange) host() string {
+	if e.request.Host == "" {
+		return e.request.Address
+	}
+	return e.request.Host
+}
+
 func (e *exchange) target() string {
 	if e.request.Query == "" {
 		return e.request.Path
@@ -162,7 +213,7 @@
 
 // endDeclared reports whether the answer says where it ends.
 func (e *exchange) endDeclared() bool {
-	return e.answer.Header.ContentLength() >= -1 // -2 means until the connection closes.
+	return e.request.Unframed || e.answer.Header.ContentLength() >= -1 // -2 means until the connection closes.
 }
 
 func (e *exchange) readWhole() (_ *Answer, err error) {
@@ -196,7 +247,8 @@
 // to the end and nothing more came with it.
 func (e *exchange) finish(whole bool) {
 	attached := e.detach()
-	reuse := whole && attached && e.reader.Buffered() == 0 && !e.answer.ConnectionClose()
+	framed := e.answer.Header.ContentLength() >= -1
+	reuse := whole && framed && attached && e.reader.Buffered() == 0 && !e.answer.ConnectionClose()
 	_ = e.answer.CloseBodyStream()
 	e.client.ReleaseReader(e.reader)
 	fasthttp.ReleaseResponse(e.answer)
--- a/internal/sender/failure.go
+++ b/internal/sender/failure.go
@@ -30,6 +30,9 @@
 // errNoEnd means that an answer came without declared length.
 var errNoEnd = merry.Sentinel("the answer declares no end")
 
+// errForeign means that answers to other requests came in place of this one's.
+var errForeign = merry.Sentinel("the answers belong to other requests")
+
 // errTooLarge means that an answer exceeds its bound.
 var errTooLarge = merry.Sentinel("the answer exceeds its bound")
 
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -39,6 +39,9 @@
 	// defaultMaxStreamBytes bounds a stream, which is never held in memory.
 	defaultMaxStreamBytes = 64 << 20
 	maxHeaderBytes        = 16 << 10
+	// maxForeignAnswers bounds the answers to earlier requests that one
+	// exchange passes over; a server sends at most one of them.
+	maxForeignAnswers = 2
 )
 
 // A Config bounds what the sender does. Zero values take the defaults.
--- a/internal/storer/storer.go
+++ b/internal/storer/storer.go
@@ -15,6 +15,9 @@
 	// ErrConflict means that a write found another version than it expected
 	// and had no effect. A ConflictError carries the present entry.
 	ErrConflict = merry.Sentinel("version conflict")
+	// ErrHistoryLost means that the changes after a version are not kept any
+	// more; the keys have to be listed anew.
+	ErrHistoryLost = merry.Sentinel("history lost")
 	// ErrLeaseExpired means that the lease does not exist any more.
 	ErrLeaseExpired = merry.Sentinel("lease expired")
 	// ErrNotFound means that the key does not exist.
--- a/internal/acceptor/caller.go
+++ b/internal/watcher/watcher.go
@@ -1,4 +1,6 @@
-package acceptor
+// Package watcher watches the connections of callers: a caller that takes nothing
+// is dropped, and one that leaves while its request runs is noticed.
+package watcher
 
 import (
 	"errors"
@@ -20,31 +22,31 @@
 	lingerBytes = 16 << 20
 )
 
-// A callerListener wraps the connections of callers.
-type callerListener struct {
+// A Listener wraps the connections of callers.
+type Listener struct {
 	net.Listener
-	writeSilence time.Duration
+	WriteSilence time.Duration // In which a caller has to take up the next part of its answer.
 }
 
 // Accept implements net.Listener.
-func (l *callerListener) Accept() (net.Conn, error) {
+func (l *Listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{TCPConn: c.(*net.TCPConn), writeSilence: l.writeSilence}, nil
+	return &Conn{TCPConn: c.(*net.TCPConn), writeSilence: l.WriteSilence}, nil
 }
 
-// A callerConn is a connection of a caller. Its write deadline moves with each
+// A Conn is a connection of a caller. Its write deadline moves with each
 // write, so that a stream may last and a caller that takes nothing is dropped.
-type callerConn struct {
+type Conn struct {
 	*net.TCPConn
 	writeSilence time.Duration
 	lingering    atomic.Bool
 }
 
 // Write implements net.Conn.
-func (c *callerConn) Write(p []byte) (n int, err error) {
+func (c *Conn) Write(p []byte) (n int, err error) {
 	for len(p) > 0 {
 		if err := c.SetWriteDeadline(time.Now().Add(c.writeSilence)); err != nil {
 			return n, err
@@ -61,37 +63,37 @@
 
 // ReadFrom implements io.ReaderFrom through Write, past the fast path of the
 // connection that would know no deadline.
-func (c *callerConn) ReadFrom(r io.Reader) (int64, error) {
+func (c *Conn) ReadFrom(r io.Reader) (int64, error) {
 	return io.Copy(writerOnly{c}, r)
 }
 
 type writerOnly struct{ io.Writer }
 
-// linger lets Close read on for a while. If it closed at once, the kernel would
+// Linger lets Close read on for a while. If it closed at once, the kernel would
 // reset the connection and the caller could lose the refusal.
-func (c *callerConn) linger() {
+func (c *Conn) Linger() {
 	c.lingering.Store(true)
 }
 
 // Close implements net.Conn.
-func (c *callerConn) Close() error {
+func (c *Conn) Close() error {
 	if c.lingering.Swap(false) && c.CloseWrite() == nil && c.SetReadDeadline(time.Now().Add(lingerTime)) == nil {
 		_, _ = io.CopyN(io.Discard, c.TCPConn, lingerBytes)
 	}
 	return c.TCPConn.Close()
 }
 
-// A callerWatch notices that a caller closes its connection while its request
+// A Watch notices that a caller closes its connection while its request
 // runs, when nobody reads from it.
-type callerWatch struct {
+type Watch struct {
 	conn net.Conn
 	wait conc.WaitGroup
 }
 
-// watchCaller calls gone when the caller has closed its connection. It peeks,
+// Caller calls gone when the caller has closed its connection. It peeks,
 // so that a next request on the connection stays where it is.
-func watchCaller(conn net.Conn, gone func()) *callerWatch {
-	w := &callerWatch{conn: conn}
+func Caller(conn net.Conn, gone func()) *Watch {
+	w := &Watch{conn: conn}
 	raw, err := rawOf(conn)
 	if err != nil {
 		return w
@@ -131,8 +133,8 @@
 	return err == nil && closed
 }
 
-// stop ends the watch before the server reads from the connection again.
-func (w *callerWatch) stop() {
+// Stop ends the watch before the server reads from the connection again.
+func (w *Watch) Stop() {
 	_ = w.conn.SetReadDeadline(time.Unix(1, 0)) // Wakes the watch.
 	w.wait.Wait()
 	_ = w.conn.SetReadDeadline(time.Time{})
