--- a/internal/commander/resident.go
+++ b/internal/commander/resident.go
@@ -3,8 +3,9 @@
 import (
 	"context"
 	"io"
-
-	"github.com/sirupsen/logrus"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/quetzalhitch/quetzalhitch/internal/reporter"
 	"github.com/quetzalhitch/quetzalhitch/platform"
@@ -30,7 +31,7 @@
 
 // runOnPlatform reads the settings and runs a role until a signal. Log lines go
 // to standard output and never block.
-func runOnPlatform(path string, stdout io.Writer, role func(context.Context, platform.Settings, *logrus.Logger) error) (err error) {
+func runOnPlatform(path string, stdout io.Writer, role platform.Role) (err error) {
 	settings, err := platform.LoadSettings(path)
 	if err != nil {
 		return err
@@ -48,5 +49,20 @@
 	}
 	ctx, cancel := untilSignal()
 	defer cancel()
-	return role(ctx, settings, logger)
+	reloads, stop := reloadSignals()
+	defer stop()
+	return role(ctx, platform.Process{
+		Settings: settings,
+		Logger:   logger,
+		Reloads:  reloads,
+		Load:     func() (platform.Settings, error) { return platform.LoadSettings(path) },
+	})
+}
+
+// reloadSignals returns a channel that receives each SIGHUP, which would end the
+// process otherwise.
+func reloadSignals() (reloads <-chan os.Signal, stop func()) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	return signals, func() { signal.Stop(signals) }
 }
--- /dev/null
+++ b/internal/commander/resident_test.go
@@ -0,0 +1,23 @@
+package commander
+
+import (
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestReloadSignals guards against a SIGHUP that ends the process, which cut the
+// requests of the instance (site jhwca-cellars, day trouble-3).
+func TestReloadSignals(t *testing.T) {
+	reloads, stop := reloadSignals()
+	defer stop()
+	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	select {
+	case <-reloads:
+	case <-time.After(5 * time.Second):
+		t.Fatal("no reload was asked for")
+	}
+}
