fix: instances divide a workspace's tokens by what they told each other

Cause: while the bucket was above half, every instance admitted freely, and the share of the refill used the own demand of the moment. Ruled out: the equal part after a cut, which holds once the silence is noticed. Now each instance uses its share of what is left once with each report, and shares follow the demand that was exchanged. The tests TestBound/all_cut and /a_cut_instance failed first and pass.

--- a/internal/apportioner/account.go
+++ b/internal/apportioner/account.go
@@ -9,9 +9,10 @@
 type account struct {
 	contract Contract
 	level    float64 // Tokens left to the group; negative after admissions that were learned late.
-	own      float64 // Tokens of the refill that this instance may still use.
+	own      float64 // Tokens of the level that this instance may use before it hears of the others again.
 	admitted float64 // By this instance since it started.
 	demand   float64 // Requests per second, decaying.
+	shared   float64 // Demand when a peer was heard last. Shares follow it, so that a cut leaves them as they are.
 	updated  time.Time
 	peers    map[string]peerUsage // By instance ID.
 	informed bool                 // A peer has told its level.
@@ -25,7 +26,9 @@
 }
 
 func newAccount(c Contract, st standing, now time.Time) *account {
-	return &account{contract: c, level: startLevel * c.Burst * st.group, updated: now, peers: map[string]peerUsage{}}
+	a := &account{contract: c, level: startLevel * c.Burst * st.group, updated: now, peers: map[string]peerUsage{}}
+	a.own = a.level * a.share(st, now)
+	return a
 }
 
 // change takes over a new contract. A lower burst binds at once.
@@ -39,7 +42,7 @@
 func (a *account) share(st standing, now time.Time) float64 {
 	together := max(st.group*float64(st.members), 1)
 	equal := 1 / together
-	total := a.demand
+	total := a.shared
 	for _, p := range a.peers {
 		if now.Sub(p.at) < heardWithin {
 			total += p.demand
@@ -49,7 +52,7 @@
 		return equal
 	}
 	floor := minShare * equal
-	return floor + (1-minShare)*a.demand/total
+	return floor + (1-minShare)*a.shared/total
 }
 
 // advance refills the bucket for the time that has passed.
@@ -69,9 +72,8 @@
 func (a *account) admit(st standing, now time.Time) Decision {
 	a.advance(st, now)
 	a.demand += 1 / demandMemory.Seconds()
-	free := a.level >= freeLevel*a.contract.Burst*st.group && a.level >= 1
 	d := Decision{Level: a.level, Share: a.share(st, now)}
-	if !free && (a.own < 1 || a.level < 1-a.slack(st)) {
+	if a.own < 1 || a.level < 1-a.slack(st) {
 		d.RetryAfter = a.wait(st, d.Share)
 		return d
 	}
@@ -115,4 +117,6 @@
 	}
 	a.level = max(a.level, -a.contract.Burst)
 	a.peers[peer] = peerUsage{admitted: u.Admitted, demand: u.Demand, at: now}
+	a.shared = a.demand
+	a.own = max(a.own, a.level*a.share(st, now))
 }
--- a/internal/apportioner/apportioner.go
+++ b/internal/apportioner/apportioner.go
@@ -3,11 +3,11 @@
 // admitted; no instance is needed for another one's decision.
 //
 // Each instance follows the bucket of a workspace from its own admissions and
-// those that its peers report. While the bucket is well filled, any instance
-// admits. Below that, each admits its part of the refill, by demand. An instance
-// that is not heard from is assumed to use the equal part that it is left with
-// when it hears nobody, so that both sides of a cut stay within the rate
-// together.
+// those that its peers report. With each report it may use its share of what is
+// left, by demand, so that all instances together use what is left once. An
+// instance that is not heard from is assumed to use the equal part that it is
+// left with when it hears nobody, so that both sides of a cut stay within the
+// rate together.
 package apportioner
 
 import (
@@ -23,9 +23,6 @@
 	// heardWithin is the silence after which a peer counts as cut off. It is
 	// four reports.
 	heardWithin = 700 * time.Millisecond
-	// freeLevel is the part of the burst above which any instance admits without
-	// regard to its share.
-	freeLevel = 0.5
 	// startLevel is the part of the burst that a new instance assumes to be
 	// left before it has heard of it.
 	startLevel = 0.25
--- /dev/null
+++ b/internal/apportioner/apportioner_test.go
@@ -0,0 +1,167 @@
+package apportioner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+)
+
+const workspace = "w1"
+
+// A fleet is instances that share one clock and tell each other what they
+// admitted.
+type fleet struct {
+	clock     *clockwork.FakeClock
+	instances []*Apportioner
+	cut       map[int]bool // Instances that hear nobody and are not heard.
+}
+
+func newFleet(n int, rate, burst float64) *fleet {
+	f := &fleet{clock: clockwork.NewFakeClock(), cut: map[int]bool{}}
+	for range n {
+		a := New(f.clock)
+		a.Install([]Contract{{Workspace: workspace, Rate: rate, Burst: burst}})
+		f.instances = append(f.instances, a)
+	}
+	for i, a := range f.instances {
+		a.SetMembers(f.others(i))
+	}
+	return f
+}
+
+func (f *fleet) others(i int) []string {
+	var ids []string
+	for j := range f.instances {
+		if j != i {
+			ids = append(ids, id(j))
+		}
+	}
+	return ids
+}
+
+func id(i int) string { return string(rune('a' + i)) }
+
+// tell exchanges reports.
+func (f *fleet) tell() {
+	for i, from := range f.instances {
+		report := from.Report()
+		for j, to := range f.instances {
+			if i != j && !f.cut[i] && !f.cut[j] {
+				to.Learn(id(i), report)
+			}
+		}
+	}
+}
+
+// run offers requests at a rate to each instance, with reports every 150 ms,
+// and returns how many were admitted.
+func (f *fleet) run(d time.Duration, perSecond []float64) int {
+	admitted, _ := f.offer(d, perSecond)
+	return admitted
+}
+
+func (f *fleet) offer(d time.Duration, perSecond []float64) (admitted, offered int) {
+	const step = 10 * time.Millisecond
+	owed := make([]float64, len(perSecond))
+	for elapsed := time.Duration(0); elapsed < d; elapsed += step {
+		if elapsed%(150*time.Millisecond) == 0 {
+			f.tell()
+		}
+		f.clock.Advance(step)
+		for i := range f.instances {
+			owed[i] += perSecond[i] * step.Seconds()
+			for ; owed[i] >= 1; owed[i]-- {
+				offered++
+				if f.instances[i].Admit(workspace).Admitted {
+					admitted++
+				}
+			}
+		}
+	}
+	return admitted, offered
+}
+
+func assertBetween(t *testing.T, got int, low, high float64) {
+	t.Helper()
+	assert.Assert(t, float64(got) >= low && float64(got) <= high, "%d is not between %v and %v", got, low, high)
+}
+
+// allowance is what the contract admits in a window: rate and burst, with the
+// tenth and the twenty requests that reports cannot prevent.
+func allowance(rate, burst float64, window time.Duration) float64 {
+	return (rate*window.Seconds()+burst)*1.1 + 20
+}
+
+// TestBound guards against a workspace that gets more than its rate and burst
+// over all instances.
+func TestBound(t *testing.T) {
+	const window = 5 * time.Second
+	loads := map[string][]float64{
+		"even":       {100, 100, 100, 100, 100},
+		"one":        {500, 0, 0, 0, 0},
+		"two uneven": {400, 50, 0, 0, 50},
+	}
+	for name, load := range loads {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(5, 60, 60)
+			f.run(2*time.Second, []float64{1, 1, 1, 1, 1})
+			assertBetween(t, f.run(window, load), 60*5*0.85, allowance(60, 60, window))
+		})
+	}
+	t.Run("a cut instance and the others together", func(t *testing.T) {
+		f := newFleet(5, 60, 60)
+		f.run(2*time.Second, []float64{1, 1, 1, 1, 1})
+		f.cut[0] = true
+		assertBetween(t, f.run(window, []float64{100, 100, 100, 100, 100}), 60*5*0.8, allowance(60, 60, window))
+	})
+	t.Run("all cut", func(t *testing.T) {
+		f := newFleet(5, 60, 60)
+		f.run(2*time.Second, []float64{1, 1, 1, 1, 1})
+		for i := range f.instances {
+			f.cut[i] = true
+		}
+		assertBetween(t, f.run(window, []float64{100, 100, 100, 100, 100}), 60*5*0.8, allowance(60, 60, window))
+	})
+}
+
+// TestInside guards against refusals of a workspace that stays inside its rate,
+// wherever its requests arrive.
+func TestInside(t *testing.T) {
+	loads := map[string][]float64{
+		"even":   {10, 10, 10, 10, 10},
+		"uneven": {45, 5, 0, 0, 0},
+		"one":    {50, 0, 0, 0, 0},
+	}
+	for name, load := range loads {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(5, 60, 60)
+			f.run(2*time.Second, []float64{1, 1, 1, 1, 1})
+			admitted, offered := f.offer(4*time.Second, load)
+			assert.Equal(t, admitted, offered)
+		})
+	}
+}
+
+// TestContracts guards against contracts that do not follow the policy.
+func TestContracts(t *testing.T) {
+	f := newFleet(1, 10, 10)
+	a := f.instances[0]
+	t.Run("no bound", func(t *testing.T) {
+		a.Install([]Contract{{Workspace: workspace}})
+		for range 1000 {
+			assert.Assert(t, a.Admit(workspace).Admitted)
+		}
+	})
+	t.Run("a lower burst binds at once", func(t *testing.T) {
+		a.Install([]Contract{{Workspace: workspace, Rate: 1, Burst: 2}})
+		f.clock.Advance(time.Minute)
+		assertBetween(t, f.run(100*time.Millisecond, []float64{1000}), 1, 4)
+	})
+	t.Run("a refusal says when to come back", func(t *testing.T) {
+		d := a.Admit(workspace)
+		assert.Assert(t, !d.Admitted)
+		assert.Assert(t, d.RetryAfter > 0)
+	})
+}
--- /dev/null
+++ b/internal/balancer/balancer_test.go
@@ -0,0 +1,151 @@
+package balancer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+)
+
+const service = "model"
+
+type rig struct {
+	clock *clockwork.FakeClock
+	b     *Balancer
+}
+
+func newRig(ids ...string) *rig {
+	r := &rig{clock: clockwork.NewFakeClock()}
+	r.b = New(Config{Clock: r.clock, FailureDomain: "d1"})
+	var backends []Backend
+	for _, id := range ids {
+		backends = append(backends, Backend{ID: id, Service: service, Address: id + ":1", FailureDomain: "d1", Slots: 4})
+	}
+	r.b.Install(backends)
+	return r
+}
+
+func (r *rig) acquire(t *testing.T, class Class, exclude ...string) *Placement {
+	t.Helper()
+	p, err := r.b.Acquire(Query{Service: service, Class: class, Exclude: exclude, MaxWait: time.Second})
+	assert.NilError(t, err)
+	return p
+}
+
+func assertRefused(t *testing.T, r *rig, class Class, want error, exclude ...string) {
+	t.Helper()
+	_, err := r.b.Acquire(Query{Service: service, Class: class, Exclude: exclude, MaxWait: 100 * time.Millisecond})
+	assert.ErrorIs(t, err, want)
+}
+
+func assertDisplaced(t *testing.T, p *Placement, want bool) {
+	t.Helper()
+	select {
+	case <-p.Displaced():
+		assert.Assert(t, want, "batch work was displaced")
+	default:
+		assert.Assert(t, !want, "batch work was not displaced")
+	}
+}
+
+// TestChoice guards against servers that get work that they should not.
+func TestChoice(t *testing.T) {
+	t.Run("the least load", func(t *testing.T) {
+		r := newRig("a", "b")
+		first := r.acquire(t, Online)
+		assert.Assert(t, r.acquire(t, Online).Backend.ID != first.Backend.ID)
+	})
+	t.Run("load of peers counts", func(t *testing.T) {
+		r := newRig("a", "b")
+		r.b.SetPeerLoads("peer", []ServerLoad{{Server: "a", Load: Load{Online: 3}}})
+		assert.Equal(t, r.acquire(t, Online).Backend.ID, "b")
+		r.b.ForgetPeer("peer")
+		assert.Equal(t, r.acquire(t, Online).Backend.ID, "a")
+	})
+	t.Run("no leaving server", func(t *testing.T) {
+		r := newRig("a")
+		r.b.Install([]Backend{{ID: "a", Service: service, Slots: 4, Leaving: true}})
+		assertRefused(t, r, Online, ErrNoServer)
+	})
+	t.Run("no server that was tried", func(t *testing.T) {
+		r := newRig("a")
+		assertRefused(t, r, Online, ErrNoServer, "a")
+	})
+	t.Run("no unknown service", func(t *testing.T) {
+		_, err := newRig("a").b.Acquire(Query{Service: "other"})
+		assert.ErrorIs(t, err, ErrNoServer)
+	})
+	t.Run("no server whose address belongs to another", func(t *testing.T) {
+		r := newRig("a")
+		r.acquire(t, Online).Release(OutcomeMisdirected)
+		assertRefused(t, r, Online, ErrNoServer)
+	})
+	t.Run("refused where the wait is too long", func(t *testing.T) {
+		r := newRig("a")
+		for range 6 {
+			r.acquire(t, Online)
+		}
+		assertRefused(t, r, Online, ErrFull)
+	})
+}
+
+// TestHealth guards against requests that keep going to a server that fails.
+func TestHealth(t *testing.T) {
+	t.Run("an unreachable server is avoided for a while", func(t *testing.T) {
+		r := newRig("a", "b")
+		p := r.acquire(t, Online, "b")
+		p.Release(OutcomeUnreachable)
+		for range 3 {
+			assert.Equal(t, r.acquire(t, Online).Backend.ID, "b")
+		}
+		r.clock.Advance(maxSuspicion)
+		assert.Equal(t, r.acquire(t, Online).Backend.ID, "a")
+	})
+	t.Run("a restart under the same ID is a new server", func(t *testing.T) {
+		r := newRig("a")
+		r.acquire(t, Online).Release(OutcomeMisdirected)
+		r.b.Install([]Backend{{ID: "a", Service: service, Slots: 4, StartedAt: 9}})
+		r.acquire(t, Online)
+	})
+	t.Run("the only server is used though it is suspected", func(t *testing.T) {
+		r := newRig("a")
+		r.acquire(t, Online).Release(OutcomeUnreachable)
+		r.acquire(t, Online)
+	})
+}
+
+// TestBatch guards against batch work that harms online requests.
+func TestBatch(t *testing.T) {
+	t.Run("it leaves slots free", func(t *testing.T) {
+		r := newRig("a")
+		r.acquire(t, Batch)
+		r.acquire(t, Batch)
+		assertRefused(t, r, Batch, ErrFull)
+	})
+	t.Run("the newest is displaced where online work fills the server", func(t *testing.T) {
+		r := newRig("a")
+		older, newer := r.acquire(t, Batch), r.acquire(t, Batch)
+		r.acquire(t, Online)
+		r.acquire(t, Online)
+		assertDisplaced(t, newer, false)
+		r.acquire(t, Online)
+		assertDisplaced(t, newer, true)
+		assertDisplaced(t, older, false)
+	})
+	t.Run("it is displaced by online work of peers", func(t *testing.T) {
+		r := newRig("a")
+		p := r.acquire(t, Batch)
+		r.b.SetPeerLoads("peer", []ServerLoad{{Server: "a", Load: Load{Online: 4}}})
+		assertDisplaced(t, p, true)
+	})
+	t.Run("room is announced", func(t *testing.T) {
+		r := newRig("a")
+		p := r.acquire(t, Batch)
+		room := r.b.WaitRoom(service)
+		p.Release(OutcomeDone)
+		p.Release(OutcomeDone) // Without effect.
+		<-room
+		assert.Equal(t, len(r.b.LocalLoads()), 0)
+	})
+}
--- a/internal/jobkeeper/job.go
+++ b/internal/jobkeeper/job.go
@@ -82,10 +82,10 @@
 
 	mu       sync.Mutex
 	record   Record
-	version  int64         // Of the record in the store.
-	listed   []Result      // In the store.
-	pending  []Result      // Finished, not in the store yet.
-	since    time.Time     // When the oldest pending result was finished.
+	version  int64     // Of the record in the store.
+	listed   []Result  // In the store.
+	pending  []Result  // Finished, not in the store yet.
+	since    time.Time // When the oldest pending result was finished.
 	open     map[string]*work
 	ended    bool          // It was ended by its caller, or lost to another owner.
 	flushing bool          // A write of results is under way.
--- /dev/null
+++ b/internal/steerer/steerer_test.go
@@ -0,0 +1,83 @@
+package steerer
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func testPolicy(version int64) Policy {
+	return Policy{
+		Version: version,
+		Routes: []Route{
+			{Name: "short", Host: "a.example", Prefix: "/x/", Targets: []Target{{Service: "s1", Weight: 1}}},
+			{Name: "long", Host: "a.example", Prefix: "/x/y/", Targets: []Target{{Service: "s2", Weight: 1}}},
+			{Name: "other", Host: "b.example", Prefix: "/", Targets: []Target{{Service: "s3"}}},
+		},
+		Workspaces: []Workspace{{Name: "w1", Keys: []string{"k1", "k2"}}},
+	}
+}
+
+func assertRoute(t *testing.T, host, path, want string) {
+	t.Helper()
+	r, ok := NewTable(testPolicy(1)).Route(host, path)
+	if want == "" {
+		assert.Assert(t, !ok, "a route was found")
+		return
+	}
+	assert.Assert(t, ok, "no route was found")
+	assert.Equal(t, r.Name, want)
+}
+
+// TestRoute guards against requests that reach the service of another route.
+func TestRoute(t *testing.T) {
+	t.Run("the longest prefix wins", func(t *testing.T) { assertRoute(t, "a.example", "/x/y/z", "long") })
+	t.Run("a shorter prefix", func(t *testing.T) { assertRoute(t, "a.example", "/x/z", "short") })
+	t.Run("no prefix begins the path", func(t *testing.T) { assertRoute(t, "a.example", "/x", "") })
+	t.Run("another host", func(t *testing.T) { assertRoute(t, "c.example", "/x/y/z", "") })
+	t.Run("host in capitals and with port", func(t *testing.T) { assertRoute(t, "B.Example:80", "/q", "other") })
+}
+
+// TestHolder guards against keys that open a foreign workspace.
+func TestHolder(t *testing.T) {
+	table := NewTable(testPolicy(1))
+	t.Run("a key of two", func(t *testing.T) {
+		w, ok := table.Holder("k2")
+		assert.Assert(t, ok)
+		assert.Equal(t, w.Name, "w1")
+	})
+	t.Run("an unknown key", func(t *testing.T) {
+		_, ok := table.Holder("k3")
+		assert.Assert(t, !ok)
+	})
+	t.Run("an empty key", func(t *testing.T) {
+		_, ok := table.Holder("")
+		assert.Assert(t, !ok)
+	})
+}
+
+func assertInstalled(t *testing.T, s *Steerer, version int64, want bool) {
+	t.Helper()
+	assert.Equal(t, s.Install(testPolicy(version)), want)
+}
+
+// TestInstall guards against a configuration that goes back.
+func TestInstall(t *testing.T) {
+	s := &Steerer{}
+	assert.Assert(t, s.Table() == nil)
+	assertInstalled(t, s, 5, true)
+	assertInstalled(t, s, 4, false)
+	assertInstalled(t, s, 5, false)
+	assert.Equal(t, s.Table().Policy.Version, int64(5))
+	assertInstalled(t, s, 9, true)
+}
+
+// TestService guards against services without weight that get requests.
+func TestService(t *testing.T) {
+	r := Route{Targets: []Target{{Service: "a", Weight: 0}, {Service: "b", Weight: 3}}}
+	for range 100 {
+		assert.Equal(t, r.Service(), "b")
+	}
+	empty := Route{}
+	assert.Equal(t, empty.Service(), "")
+}
