--- /dev/null
+++ b/internal/follower/follower_test.go
@@ -0,0 +1,159 @@
+package follower
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/emulator/storeemulator"
+	"github.com/quetzalhitch/quetzalhitch/internal/storer"
+)
+
+type rig struct {
+	store *storeemulator.Store
+	f     *Follower
+}
+
+// start follows "k/" with a real clock.
+func start(t *testing.T, hold time.Duration, keys ...string) *rig {
+	t.Helper()
+	clock := clockwork.NewRealClock()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	r := &rig{store: storeemulator.New(clock)}
+	r.put(t, keys...)
+	r.f = New(Config{Name: "test", Prefix: "k/", Store: r.store, Clock: clock, Logger: logger, HoldRemovals: hold, Changed: func(Copy) {}})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := r.f.Start(ctx)
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return r
+}
+
+func (r *rig) put(t *testing.T, keys ...string) {
+	t.Helper()
+	for _, key := range keys {
+		_, err := r.store.Commit(t.Context(), storer.Transaction{Writes: []storer.Write{{Key: key}}})
+		assert.NilError(t, err)
+	}
+}
+
+func (r *rig) remove(t *testing.T, key string) {
+	t.Helper()
+	_, err := r.store.Commit(t.Context(), storer.Transaction{Remove: []string{key}})
+	assert.NilError(t, err)
+}
+
+func (r *rig) setDown(down bool) {
+	r.store.SetFault(func(string) storeemulator.Fault {
+		if down {
+			return storeemulator.Down
+		}
+		return storeemulator.None
+	})
+}
+
+func awaitKeys(t *testing.T, f *Follower, n int) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if got := len(f.Copy().Entries); got != n {
+			return poll.Continue("%d keys instead of %d", got, n)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
+}
+
+// TestFollow guards against copies that miss changes.
+func TestFollow(t *testing.T) {
+	t.Run("listing and changes", func(t *testing.T) {
+		r := start(t, 0, "k/a", "other")
+		awaitKeys(t, r.f, 1)
+		r.put(t, "k/b")
+		awaitKeys(t, r.f, 2)
+		r.remove(t, "k/a")
+		awaitKeys(t, r.f, 1)
+	})
+	t.Run("history lost", func(t *testing.T) {
+		r := start(t, 0, "k/a")
+		awaitKeys(t, r.f, 1)
+		r.setDown(true)
+		r.setDown(false)
+		r.put(t, "k/b")
+		r.store.Compact()
+		awaitKeys(t, r.f, 2)
+	})
+	t.Run("changes during an outage", func(t *testing.T) {
+		r := start(t, 0, "k/a")
+		awaitKeys(t, r.f, 1)
+		r.store.SetFault(func(operation string) storeemulator.Fault {
+			if operation == "commit" {
+				return storeemulator.None
+			}
+			return storeemulator.Down
+		})
+		r.put(t, "k/b")
+		r.setDown(false)
+		awaitKeys(t, r.f, 2)
+	})
+}
+
+// TestHold guards against servers that are dropped because their entries lapsed
+// while the store was away.
+func TestHold(t *testing.T) {
+	const hold = 300 * time.Millisecond
+	r := start(t, hold, "k/a", "k/b")
+	awaitKeys(t, r.f, 2)
+	r.store.SetFault(func(operation string) storeemulator.Fault {
+		if operation == "commit" {
+			return storeemulator.None
+		}
+		return storeemulator.Down
+	})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if r.f.Connected() {
+			return poll.Continue("the outage is not noticed")
+		}
+		return poll.Success()
+	})
+	r.remove(t, "k/a")
+	r.setDown(false)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !r.f.Connected() {
+			return poll.Continue("the return is not noticed")
+		}
+		return poll.Success()
+	})
+	assert.Equal(t, len(r.f.Copy().Entries), 2)
+	awaitKeys(t, r.f, 1)
+}
+
+// TestOffer guards against copies of peers that take the place of newer ones.
+func TestOffer(t *testing.T) {
+	offered := Copy{Entries: []storer.Entry{{Key: "k/p", Version: 90}}, Version: 90}
+	t.Run("refused while the store is there", func(t *testing.T) {
+		r := start(t, 0, "k/a")
+		awaitKeys(t, r.f, 1)
+		assert.Assert(t, !r.f.Offer(offered))
+	})
+	t.Run("taken where the store is away", func(t *testing.T) {
+		r := start(t, 0)
+		r.setDown(true)
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if r.f.Connected() {
+				return poll.Continue("the outage is not noticed")
+			}
+			return poll.Success()
+		})
+		assert.Assert(t, r.f.Offer(offered))
+		assert.Assert(t, !r.f.Offer(offered))
+		assert.Equal(t, r.f.Version(), int64(90))
+	})
+}
--- a/internal/forwarder/run.go
+++ b/internal/forwarder/run.go
@@ -47,6 +47,7 @@
 	refused   int      // Servers that said that they did not run it.
 	tried     []string // IDs of servers that failed.
 	events    int      // Events handed over.
+	fresh     int      // Events of the last server among them.
 	resumes   int
 	firstByte time.Duration // From arrival to the first byte handed over.
 	cause     string        // Of the last failure.
@@ -159,6 +160,7 @@
 	}
 	r.placement = placement
 	r.server, r.load = placement.Backend.ID, placement.Load
+	r.fresh = 0
 	return nil
 }
 
@@ -207,14 +209,15 @@
 	} else {
 		r.refused++
 	}
-	if r.deathlike(failure) {
+	if deathlike(failure) && r.fresh == 0 {
 		r.f.cfg.Suspects.RecordDeath(r.digest, r.server)
 	}
 	r.exclude(outcomeOf(failure))
 }
 
-// deathlike reports whether the failure looks like the death of the server.
-func (r *run) deathlike(f *sender.Failure) bool {
+// deathlike reports whether the failure looks like the death of the server. A
+// request that makes servers die does so before its first event.
+func deathlike(f *sender.Failure) bool {
 	return f.Dispatched && f.Cause == sender.CauseLost
 }
 
@@ -255,6 +258,7 @@
 		case err == nil:
 			r.markFirstByte()
 			r.events++
+			r.fresh++
 			if event.ID != "" {
 				r.after = event.ID
 			}
