fix: a job is taken over only while its owner's entry is absent

Cause: instances that start know no members and took over jobs whose owners were present; the former owner served what it held until its next write, without the results that the new owner had listed. Ruled out: copies of other instances' jobs, whose records are read again after 0.7 s. Displaced batch work counts until it has left, and each instance displaces its part only.

--- a/internal/balancer/placement.go
+++ b/internal/balancer/placement.go
@@ -30,6 +30,7 @@
 	clock     Clock
 	startedAt time.Time
 	displaced chan struct{} // Closed when batch work has to leave; nil for online requests.
+	vacating  bool          // It was displaced; guarded by the lock of the pool.
 	displaceO sync.Once
 	releaseO  sync.Once
 }
@@ -58,6 +59,9 @@
 	now := placement.clock.Now()
 	if placement.class == Batch {
 		s.local.Batch--
+		if placement.vacating {
+			s.vacating--
+		}
 		s.batch = slices.DeleteFunc(s.batch, func(other *Placement) bool { return other == placement })
 	} else {
 		s.local.Online--
--- a/internal/balancer/pool.go
+++ b/internal/balancer/pool.go
@@ -28,7 +28,10 @@
 	local  Load
 	peers  map[string]Load // By instance ID.
 	health health
-	batch  []*Placement // Batch work of this instance, oldest first.
+	batch  []*Placement // Batch work of this instance that may stay, oldest first.
+	// vacating is the batch work of this instance that was displaced and has not
+	// left yet. It is part of local.
+	vacating int
 }
 
 func (s *server) load() int {
@@ -128,14 +131,33 @@
 // displace chooses the batch work that has to leave because the server has
 // more work than slots. The newest goes first: it loses the least.
 func (s *server) displace() *Placement {
-	if len(s.batch) == 0 || s.load() <= s.Slots {
+	if len(s.batch) == 0 || s.load()-s.vacating <= s.Slots {
 		return nil
 	}
 	last := s.batch[len(s.batch)-1]
 	s.batch = s.batch[:len(s.batch)-1]
+	s.vacating++
+	last.vacating = true
 	return last
 }
 
+// displaceShare chooses this instance's part of the batch work that has to leave
+// after the reports of peers. The others see the same load and displace theirs.
+// Without online work nothing has to leave: it only waits at the server.
+func (s *server) displaceShare() (displaced []*Placement) {
+	load := s.load() - s.vacating
+	excess := min(load-s.Slots, s.onlineLoad())
+	batch := load - s.onlineLoad()
+	if excess <= 0 || batch <= 0 {
+		return nil
+	}
+	share := (excess*len(s.batch) + batch/2) / batch
+	for range min(share, len(s.batch)) {
+		displaced = append(displaced, s.displace())
+	}
+	return displaced
+}
+
 // best is the server with the least load among those that are not known to
 // fail, or among all that take requests where there is no other.
 func (p *pool) best(q Query, domain string, now time.Time) *server {
@@ -218,7 +240,7 @@
 			continue
 		}
 		s.peers[instance] = l
-		displaced = append(displaced, s.displace())
+		displaced = append(displaced, s.displaceShare()...)
 	}
 	p.signalRoom()
 	p.mu.Unlock()
--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -76,6 +76,7 @@
 	self       Member
 	lease      storer.Lease
 	enrolled   bool
+	term       int // Enrollments so far.
 	peers      map[string]Member
 	vanishedAt map[string]time.Time // By ID.
 
@@ -170,11 +171,21 @@
 	}
 	e.mu.Lock()
 	e.lease, e.enrolled = lease, true
+	e.term++
 	e.mu.Unlock()
 	e.cfg.Logger.WithFields(logrus.Fields{"lease": lease.ID, "leaving": self.Leaving}).Info("enrolled")
 	return nil
 }
 
+// Term numbers the time since this instance enrolled last, and reports whether
+// its lease is certainly held. Within a term no other instance may take what this
+// one holds.
+func (e *Enroller) Term() (term int, held bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.term, e.enrolled && e.lease.Live(e.cfg.Clock.Now())
+}
+
 // Leave tells the others that this instance hands over what it holds.
 func (e *Enroller) Leave() {
 	e.mu.Lock()
@@ -201,6 +212,9 @@
 	e.mu.Lock()
 	present := map[string]bool{}
 	for _, entry := range c.Entries {
+		if !strings.HasPrefix(entry.Key, e.cfg.Prefix) {
+			continue
+		}
 		var m Member
 		if err := cbor.Unmarshal(entry.Value, &m); err != nil || m.ID != strings.TrimPrefix(entry.Key, e.cfg.Prefix) {
 			e.cfg.Logger.WithField("key", entry.Key).Warn("entry of an instance cannot be read")
--- a/internal/jobkeeper/keeper.go
+++ b/internal/jobkeeper/keeper.go
@@ -39,6 +39,12 @@
 	Table() *steerer.Table
 }
 
+// Terms tells whether this instance may rely on what it holds. *enroller.Enroller
+// satisfies it.
+type Terms interface {
+	Term() (term int, held bool)
+}
+
 // Placer chooses the backend servers of items.
 type Placer interface {
 	Acquire(q balancer.Query) (*balancer.Placement, error)
@@ -50,14 +56,18 @@
 	Self      enroller.Member
 	Prefix    string // Of the keys of jobs.
 	EndPrefix string // Of the keys that end jobs, which every instance follows.
-	Store     Store
-	Links     Links
-	Policies  Policies
-	Placer    Placer
-	Engines   forwarder.Engines
-	Retention time.Duration // How long the results of a finished job are kept.
-	Clock     storer.Clock
-	Logger    logrus.FieldLogger
+	// MembersPrefix is that of the keys of instances, which are bound to their
+	// leases. A job is taken over only while its owner's key is as it was seen.
+	MembersPrefix string
+	Store         Store
+	Links         Links
+	Policies      Policies
+	Terms         Terms
+	Placer        Placer
+	Engines       forwarder.Engines
+	Retention     time.Duration // How long the results of a finished job are kept.
+	Clock         storer.Clock
+	Logger        logrus.FieldLogger
 }
 
 // A Keeper holds the jobs of this instance, and reads those of others.
@@ -73,7 +83,11 @@
 	base    context.Context // Of all items; set by Start.
 	members map[string]enroller.Member
 	enders  map[string]bool // Jobs that were ended, by the keys in the store.
-	leaving bool
+	// creating holds the jobs whose acceptance is being written.
+	creating map[string]bool
+	// verified is the term in which the records of all owned jobs were seen.
+	verified int
+	leaving  bool
 }
 
 type shard struct {
@@ -88,6 +102,8 @@
 		sweeps:  make(chan struct{}, 1),
 		members: map[string]enroller.Member{},
 		enders:  map[string]bool{},
+
+		creating: map[string]bool{},
 	}
 	for i := range k.shards {
 		k.shards[i].jobs = map[string]*job{}
@@ -161,6 +177,11 @@
 		SubmittedAt: m.SubmittedAt,
 		Total:       len(m.Items),
 	}
+	if !k.beginCreating(m.Job) {
+		refusal := refuser.New(refuser.InDoubt, refuser.Unknown, "the job is being submitted by another request")
+		return refusal
+	}
+	defer k.endCreating(m.Job)
 	created, version, err := k.create(ctx, m, record)
 	if err != nil {
 		return k.submitRefusal(m, err)
@@ -181,6 +202,34 @@
 	return sameWorkspace(known.Workspace, m.Workspace)
 }
 
+func (k *Keeper) beginCreating(id string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.creating[id] {
+		return false
+	}
+	k.creating[id] = true
+	return true
+}
+
+func (k *Keeper) endCreating(id string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.creating, id)
+}
+
+// certain reports whether this instance surely still owns the jobs in its table.
+func (k *Keeper) certain() bool {
+	term, held := k.cfg.Terms.Term()
+	k.mu.Lock()
+	verified := k.verified
+	k.mu.Unlock()
+	if held && verified != term {
+		k.askSweep()
+	}
+	return held && verified == term
+}
+
 func sameWorkspace(a, b string) *refuser.Refusal {
 	if a == b {
 		return nil
--- a/internal/jobkeeper/ledger.go
+++ b/internal/jobkeeper/ledger.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/quetzalhitch/quetzalhitch/internal/enroller"
 	"github.com/quetzalhitch/quetzalhitch/internal/storer"
 	"github.com/quetzalhitch/quetzalhitch/pkg/refuser"
 )
@@ -132,13 +133,21 @@
 		return err
 	}
 	former := r.Owner
+	expect := []storer.Expectation{{Key: k.key(recordKey(id)), Version: version}}
+	if former != k.cfg.Self.ID {
+		absent, err := k.ownerExpectation(ctx, r)
+		if err != nil {
+			return err
+		}
+		expect = append(expect, absent)
+	}
 	r.Owner, r.Incarnation = k.cfg.Self.ID, k.cfg.Self.Incarnation
 	value, err := cbor.Marshal(r)
 	if err != nil {
 		return err
 	}
 	version, err = k.cfg.Store.Commit(ctx, storer.Transaction{
-		Expect: []storer.Expectation{{Key: k.key(recordKey(id)), Version: version}},
+		Expect: expect,
 		Writes: []storer.Write{{Key: k.key(recordKey(id)), Value: value}},
 	})
 	if err != nil {
@@ -149,6 +158,28 @@
 	return nil
 }
 
+// ownerExpectation is the state of the owner's key under which its job may be
+// taken over: absent, or that of an owner that leaves. While the owner holds its
+// lease, what it tells of its jobs is true.
+func (k *Keeper) ownerExpectation(ctx context.Context, r Record) (storer.Expectation, error) {
+	key := k.cfg.MembersPrefix + r.Owner
+	entry, err := k.cfg.Store.Get(ctx, key)
+	if errors.Is(err, storer.ErrNotFound) {
+		return storer.Expectation{Key: key}, nil
+	}
+	if err != nil {
+		return storer.Expectation{}, err
+	}
+	var owner enroller.Member
+	if err := cbor.Unmarshal(entry.Value, &owner); err != nil {
+		return storer.Expectation{}, err
+	}
+	if !owner.Leaving {
+		return storer.Expectation{}, merry.Prependf(storer.ErrConflict, "instance %s is present", r.Owner)
+	}
+	return storer.Expectation{Key: key, Version: entry.Version}, nil
+}
+
 // finished notes the result of an item and writes it soon.
 func (k *Keeper) finished(w *work, state State, text string) {
 	j := w.job
--- a/internal/jobkeeper/query.go
+++ b/internal/jobkeeper/query.go
@@ -42,12 +42,10 @@
 
 // A jobResponse is the owner's answer.
 type jobResponse struct {
-	Owned   bool   `cbor:"owned"` // The instance owns the job.
-	Found   bool   `cbor:"found"` // It belongs to the workspace, and so does the item.
-	View    View   `cbor:"view"`
-	Body    []byte `cbor:"body,omitempty"`
-	Listed  bool   `cbor:"listed"`
-	Unknown bool   `cbor:"unknown"`
+	Owned bool   `cbor:"owned"` // The instance owns the job.
+	Found bool   `cbor:"found"` // It belongs to the workspace, and so does the item.
+	View  View   `cbor:"view"`
+	Body  []byte `cbor:"body,omitempty"`
 }
 
 // copies remember jobs of other instances.
@@ -97,7 +95,10 @@
 // the first one.
 func (k *Keeper) Read(ctx context.Context, workspace, id string, after int, wait time.Duration) (View, *refuser.Refusal) {
 	if j, ok := k.owned(id); ok {
-		return k.readOwned(ctx, j, workspace, after, wait)
+		if v, ok := k.readCertain(ctx, j, workspace, after, wait); ok {
+			return v, nil
+		}
+		return k.readStored(ctx, workspace, id, after)
 	}
 	response, refusal := k.askOwner(ctx, jobRequest{Operation: operationRead, Job: id, Workspace: workspace, After: after, Wait: wait})
 	switch {
@@ -111,6 +112,16 @@
 	return k.readStored(ctx, workspace, id, after)
 }
 
+// readCertain reads a job of this instance, unless another instance may have
+// taken it over. Results that are there are true in any case.
+func (k *Keeper) readCertain(ctx context.Context, j *job, workspace string, after int, wait time.Duration) (View, bool) {
+	v, refusal := k.readOwned(ctx, j, workspace, after, wait)
+	if refusal != nil {
+		return View{}, false
+	}
+	return v, len(v.Results) > 0 || k.certain()
+}
+
 func (k *Keeper) readOwned(ctx context.Context, j *job, workspace string, after int, wait time.Duration) (View, *refuser.Refusal) {
 	if j.manifest.Workspace != workspace {
 		return View{}, notFound
@@ -237,8 +248,10 @@
 	response := jobResponse{Owned: true}
 	switch q.Operation {
 	case operationRead:
-		v, refusal := k.readOwned(ctx, j, q.Workspace, q.After, q.Wait)
-		response.View, response.Found = v, refusal == nil
+		response.Found = j.manifest.Workspace == q.Workspace
+		if response.Found {
+			response.View, response.Owned = k.readCertain(ctx, j, q.Workspace, q.After, q.Wait)
+		}
 	case operationBody:
 		response.Body, response.Found = bodyOf(j, q.Workspace, q.Item)
 	case operationEnd:
--- a/internal/jobkeeper/sweep.go
+++ b/internal/jobkeeper/sweep.go
@@ -56,13 +56,18 @@
 // sweep takes over the open jobs that fall to this instance, and removes those
 // whose results are not kept any longer.
 func (k *Keeper) sweep(ctx context.Context) error {
-	if k.isLeaving() {
+	term, held := k.cfg.Terms.Term()
+	if k.isLeaving() || !held {
 		return nil
 	}
 	listing, err := k.cfg.Store.List(ctx, k.key("run/"))
 	if err != nil {
 		return err
 	}
+	k.dropLost(listing)
+	k.mu.Lock()
+	k.verified = term
+	k.mu.Unlock()
 	for _, entry := range listing.Entries {
 		id := strings.TrimPrefix(entry.Key, k.key("run/"))
 		var r Record
@@ -84,9 +89,29 @@
 	return nil
 }
 
+// dropLost drops the jobs whose records name another owner.
+func (k *Keeper) dropLost(listing storer.Listing) {
+	for _, entry := range listing.Entries {
+		id := strings.TrimPrefix(entry.Key, k.key("run/"))
+		j, ok := k.owned(id)
+		if !ok {
+			continue
+		}
+		var r Record
+		if err := cbor.Unmarshal(entry.Value, &r); err != nil {
+			k.log(id).WithError(err).Warn("record of a job cannot be read")
+			continue
+		}
+		if r.Owner != k.cfg.Self.ID || r.Incarnation != k.cfg.Self.Incarnation {
+			k.log(id).WithField("owner", r.Owner).Warn("job lost to another instance")
+			k.drop(j)
+		}
+	}
+}
+
 // falls reports whether a job is this instance's to run.
 func (k *Keeper) falls(id string, r Record) bool {
-	if _, ok := k.owned(id); ok {
+	if _, ok := k.owned(id); ok || k.isCreating(id) {
 		return false
 	}
 	if r.Owner == k.cfg.Self.ID {
@@ -104,6 +129,12 @@
 	return k.heir(id) == k.cfg.Self.ID
 }
 
+func (k *Keeper) isCreating(id string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.creating[id]
+}
+
 // heir is the instance that a job without owner falls to: all instances with
 // the same membership choose the same.
 func (k *Keeper) heir(id string) string {
