feat: the progress of items is saved, and absent instances stay linked

Members that vanish stay linked while they are heard. Values are split at 700 KB, since the store holds 1 MB.

--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -64,8 +64,11 @@
 
 // A Membership is the instances that are known.
 type Membership struct {
-	Peers    []Member // Without this instance; sorted by ID.
-	Reserved []string // IDs of instances that vanished without leaving, for which a part of all contracts is kept.
+	Peers []Member // Without this instance; sorted by ID.
+	// Absent are instances that vanished without leaving. They may be cut off
+	// from the store only, so that links to them and a part of all contracts are
+	// kept while they are heard, and for a while after.
+	Absent []Member
 }
 
 // An Enroller holds this instance's entry.
@@ -78,7 +81,8 @@
 	enrolled   bool
 	term       int // Enrollments so far.
 	peers      map[string]Member
-	vanishedAt map[string]time.Time // By ID.
+	absent     map[string]Member    // By ID.
+	vanishedAt map[string]time.Time // Of absent members, or when one was heard last.
 
 	notify sync.Mutex // Held during Changed.
 	wake   chan struct{}
@@ -90,6 +94,7 @@
 		cfg:        cfg,
 		self:       cfg.Self,
 		peers:      map[string]Member{},
+		absent:     map[string]Member{},
 		vanishedAt: map[string]time.Time{},
 		wake:       make(chan struct{}, 1),
 	}
@@ -223,7 +228,7 @@
 		present[m.ID] = true
 		if m.ID != e.cfg.Self.ID {
 			e.peers[m.ID] = m
-			delete(e.vanishedAt, m.ID)
+			delete(e.absent, m.ID)
 		}
 	}
 	for id, m := range e.peers {
@@ -232,6 +237,7 @@
 		}
 		delete(e.peers, id)
 		if !m.Leaving {
+			e.absent[id] = m
 			e.vanishedAt[id] = now
 		}
 	}
@@ -239,14 +245,23 @@
 	e.changed()
 }
 
+// Heard notes that an instance is alive.
+func (e *Enroller) Heard(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, ok := e.absent[id]; ok {
+		e.vanishedAt[id] = e.cfg.Clock.Now()
+	}
+}
+
 // expire ends the reservations whose time is over.
 func (e *Enroller) expire() {
 	now := e.cfg.Clock.Now()
 	e.mu.Lock()
 	ended := false
-	for id, at := range e.vanishedAt {
-		if now.Sub(at) > reservedTime {
-			delete(e.vanishedAt, id)
+	for id := range e.absent {
+		if now.Sub(e.vanishedAt[id]) > reservedTime {
+			delete(e.absent, id)
 			ended = true
 		}
 	}
@@ -260,7 +275,7 @@
 	e.notify.Lock()
 	defer e.notify.Unlock()
 	m := e.Membership()
-	e.cfg.Logger.WithFields(logrus.Fields{"peers": len(m.Peers), "reserved": len(m.Reserved)}).Info("membership changed")
+	e.cfg.Logger.WithFields(logrus.Fields{"peers": len(m.Peers), "absent": len(m.Absent)}).Info("membership changed")
 	e.cfg.Changed(m)
 }
 
@@ -273,8 +288,8 @@
 		m.Peers = append(m.Peers, peer)
 	}
 	slices.SortFunc(m.Peers, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
-	for id := range e.vanishedAt {
-		m.Reserved = append(m.Reserved, id)
+	for _, member := range e.absent {
+		m.Absent = append(m.Absent, member)
 	}
 	return m
 }
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -69,6 +69,7 @@
 	Balancer *balancer.Balancer
 	Quotas   *apportioner.Apportioner
 	Sources  map[string]Source // By name.
+	Heard    func(id string)   // Called when a peer is heard.
 	Clock    storer.Clock
 	Logger   logrus.FieldLogger
 }
@@ -218,6 +219,7 @@
 	regained := !p.heard
 	p.heardAt, p.counted, p.heard = g.cfg.Clock.Now(), true, true
 	g.mu.Unlock()
+	g.cfg.Heard(id)
 	if regained {
 		g.cfg.Logger.WithField("peer", id).Info("peer heard")
 	}
--- a/internal/jobkeeper/job.go
+++ b/internal/jobkeeper/job.go
@@ -52,6 +52,15 @@
 	Segments    int       `cbor:"segments"` // Segments of results that are in the store.
 	Listed      int       `cbor:"listed"`   // Results in them.
 	Done        bool      `cbor:"done"`     // Every item is listed.
+	Parts       int       `cbor:"parts"`    // Values that the manifest takes.
+}
+
+// A Progress is how far an item was when the owner saved it last.
+type Progress struct {
+	Item   string `cbor:"item"`
+	After  string `cbor:"after"` // ID of the last event.
+	Events int    `cbor:"events"`
+	Text   string `cbor:"text"`
 }
 
 // A Result is a listed item.
@@ -70,7 +79,10 @@
 }
 
 // Keys of a job in the platform's store, below the prefix of the keeper.
-func manifestKey(job string) string { return "job/" + job }
+func manifestKey(job string, part int) string {
+	return "job/" + job + "/" + strconv.Itoa(part)
+}
+func progressKey(job string) string { return "part/" + job }
 func recordKey(job string) string   { return "run/" + job }
 func segmentKey(job string, n int) string {
 	return "out/" + job + "/" + strconv.Itoa(n)
@@ -89,6 +101,7 @@
 	open     map[string]*work
 	ended    bool          // It was ended by its caller, or lost to another owner.
 	flushing bool          // A write of results is under way.
+	saved    int           // Events in the progress that was saved last.
 	changed  chan struct{} // Closed at the next change of what callers see.
 }
 
@@ -107,6 +120,34 @@
 	return j
 }
 
+// restore takes over what a former owner had saved.
+func (j *job) restore(saved []Progress) {
+	for _, p := range saved {
+		if w, ok := j.open[p.Item]; ok {
+			w.after, w.events = p.After, p.Events
+			w.text.WriteString(p.Text)
+			j.saved += p.Events
+		}
+	}
+}
+
+// progress is how far the open items are, up to maxValueBytes of texts. The lock
+// is held.
+func (j *job) progress() (saved []Progress, events int) {
+	size := 0
+	for id, w := range j.open {
+		p := w.progress()
+		size += len(p.Text)
+		if p.Events == 0 || size > maxValueBytes {
+			continue
+		}
+		p.Item = id
+		saved = append(saved, p)
+		events += p.Events
+	}
+	return saved, events
+}
+
 // announce wakes the callers that wait for a change. The lock is held.
 func (j *job) announce() {
 	close(j.changed)
@@ -119,6 +160,9 @@
 	return viewOf(j.record.Total, j.listed, after, j.ended || j.record.Done)
 }
 
+// maxValueBytes bounds what goes into one value of the store, which holds 1 MB.
+const maxValueBytes = 700 << 10
+
 // maxViewBytes bounds the texts of one view; callers take at most 1 MB, which
 // leaves room for the escapes of JSON.
 const maxViewBytes = 600 << 10
--- a/internal/jobkeeper/jobkeeper_test.go
+++ b/internal/jobkeeper/jobkeeper_test.go
@@ -74,6 +74,7 @@
 	hold     chan struct{} // Items wait for it; nil for none.
 	verdicts map[string]*forwarder.Answer
 	cuts     map[string]int // Runs of an item that are cut after their first event.
+	stall    chan struct{}  // Streams wait for it after their first event; nil for none.
 	runs     map[string]int
 	resumes  []string // Event IDs after which runs went on.
 }
@@ -88,6 +89,7 @@
 	answer := e.verdicts[a.Request.ID]
 	cut := e.cuts[a.Request.ID] > 0
 	e.cuts[a.Request.ID]--
+	stall := e.stall
 	e.mu.Unlock()
 	if hold != nil {
 		select {
@@ -107,7 +109,7 @@
 		}
 		next = n + 1
 	}
-	return &forwarder.Answer{Verdict: forwarder.VerdictAnswered, Status: 200, Stream: &itemStream{next: next, cut: cut}}, nil
+	return &forwarder.Answer{Verdict: forwarder.VerdictAnswered, Status: 200, Stream: &itemStream{ctx: ctx, next: next, cut: cut, stall: stall}}, nil
 }
 
 func (e *engines) runsOf(item string) int {
@@ -117,8 +119,10 @@
 }
 
 type itemStream struct {
-	next int
-	cut  bool
+	ctx   context.Context
+	next  int
+	cut   bool
+	stall chan struct{}
 }
 
 func (s *itemStream) Next() (forwarder.Event, error) {
@@ -128,6 +132,13 @@
 	if s.cut && s.next > 1 {
 		return forwarder.Event{}, &sender.Failure{Cause: sender.CauseLost, Dispatched: true, Err: io.ErrUnexpectedEOF}
 	}
+	if s.stall != nil && s.next > 1 {
+		select {
+		case <-s.stall:
+		case <-s.ctx.Done():
+			return forwarder.Event{}, &sender.Failure{Cause: sender.CauseCancelled, Dispatched: true, Err: s.ctx.Err()}
+		}
+	}
 	id := strconv.Itoa(s.next)
 	s.next++
 	return forwarder.Event{ID: id, Raw: []byte("id: " + id + "\ndata: t" + id + "\n\n")}, nil
@@ -310,6 +321,29 @@
 	})
 }
 
+// TestValues guards against values that the store does not hold: it takes 1 MB.
+func TestValues(t *testing.T) {
+	r := newRig()
+	k := r.keeper(t, "k1")
+	m := manifest("i1", "i2", "i3")
+	for i := range m.Items {
+		m.Items[i].Body = make([]byte, maxValueBytes-1000)
+	}
+	submit(t, k, m)
+	listing, err := r.store.List(t.Context(), "batch/")
+	assert.NilError(t, err)
+	for _, e := range listing.Entries {
+		assert.Assert(t, len(e.Value) <= maxValueBytes, "%s has %d bytes", e.Key, len(e.Value))
+	}
+	record, _, err := k.readRecord(t.Context(), jobID)
+	assert.NilError(t, err)
+	restored, err := k.readManifest(t.Context(), jobID, record.Parts)
+	assert.NilError(t, err)
+	assert.Equal(t, len(restored.Items), 3)
+	long := []Result{{Text: string(make([]byte, maxValueBytes-1))}, {Text: "xx"}}
+	assert.Equal(t, len(firstResults(long)), 1)
+}
+
 // TestSubmit guards against jobs that are accepted twice or lost.
 func TestSubmit(t *testing.T) {
 	t.Run("twice, at two instances", func(t *testing.T) {
@@ -370,6 +404,35 @@
 		awaitResults(t, k2, 1)
 		assert.Equal(t, len(awaitResults(t, k1, 1).Results), 1)
 	})
+	t.Run("the heir goes on where the owner had saved", func(t *testing.T) {
+		r := newRig()
+		stall := make(chan struct{})
+		r.engines.stall = stall
+		k1, k2 := r.keeper(t, "k1"), r.keeper(t, "k2")
+		submit(t, k1, manifest("i1"))
+		j, ok := k1.owned(jobID)
+		assert.Assert(t, ok)
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			j.mu.Lock()
+			defer j.mu.Unlock()
+			if _, events := j.progress(); events != 1 {
+				return poll.Continue("%d events instead of 1", events)
+			}
+			return poll.Success()
+		})
+		assert.NilError(t, k1.save(t.Context(), j, 1))
+		r.terms["k1"].set(1, false)
+		r.vanish(t, "k1", k2)
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if _, ok := k2.owned(jobID); !ok {
+				return poll.Continue("the job is not taken over")
+			}
+			return poll.Success()
+		})
+		close(stall)
+		assertResults(t, awaitResults(t, k2, 1), StateCompleted, wholeText)
+		assert.Equal(t, r.engines.resumes[0], "1")
+	})
 	t.Run("the owner is present", func(t *testing.T) {
 		r := newRig()
 		r.engines.hold = make(chan struct{})
--- a/internal/jobkeeper/keeper.go
+++ b/internal/jobkeeper/keeper.go
@@ -134,6 +134,7 @@
 	k.mu.Unlock()
 	ended := make(chan error, 1)
 	var loops conc.WaitGroup
+	k.running.Go(func() { k.saveLoop(ctx) })
 	loops.Go(func() {
 		defer close(ended)
 		k.sweepLoop(ctx)
--- a/internal/jobkeeper/ledger.go
+++ b/internal/jobkeeper/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -43,17 +44,16 @@
 	if err != nil {
 		return false, 0, err
 	}
+	t := storer.Transaction{Expect: []storer.Expectation{{Key: k.key(recordKey(m.Job))}}}
+	for part := range slices.Chunk(manifest, maxValueBytes) {
+		t.Writes = append(t.Writes, storer.Write{Key: k.key(manifestKey(m.Job, r.Parts)), Value: part})
+		r.Parts++
+	}
 	record, err := cbor.Marshal(r)
 	if err != nil {
 		return false, 0, err
 	}
-	t := storer.Transaction{
-		Expect: []storer.Expectation{{Key: k.key(recordKey(m.Job))}},
-		Writes: []storer.Write{
-			{Key: k.key(manifestKey(m.Job)), Value: manifest},
-			{Key: k.key(recordKey(m.Job)), Value: record},
-		},
-	}
+	t.Writes = append(t.Writes, storer.Write{Key: k.key(recordKey(m.Job)), Value: record})
 	inDoubt := false
 	for range createTries {
 		version, err = k.cfg.Store.Commit(ctx, t)
@@ -113,18 +113,38 @@
 	return results, nil
 }
 
-func (k *Keeper) readManifest(ctx context.Context, id string) (m Manifest, err error) {
-	entry, err := k.cfg.Store.Get(ctx, k.key(manifestKey(id)))
+func (k *Keeper) readManifest(ctx context.Context, id string, parts int) (m Manifest, err error) {
+	var data []byte
+	for part := range parts {
+		entry, err := k.cfg.Store.Get(ctx, k.key(manifestKey(id, part)))
+		if err != nil {
+			return Manifest{}, err
+		}
+		data = append(data, entry.Value...)
+	}
+	return m, cbor.Unmarshal(data, &m)
+}
+
+// readProgress reads what the former owner saved; nothing where it saved none.
+func (k *Keeper) readProgress(ctx context.Context, id string) (saved []Progress, err error) {
+	entry, err := k.cfg.Store.Get(ctx, k.key(progressKey(id)))
+	if errors.Is(err, storer.ErrNotFound) {
+		return nil, nil
+	}
 	if err != nil {
-		return Manifest{}, err
+		return nil, err
 	}
-	return m, cbor.Unmarshal(entry.Value, &m)
+	return saved, cbor.Unmarshal(entry.Value, &saved)
 }
 
 // takeOver makes this instance the owner of a job.
 func (k *Keeper) takeOver(ctx context.Context, id string, r Record, version int64) (err error) {
 	defer func() { err = merry.Prependf(err, "take over job %s", id) }()
-	m, err := k.readManifest(ctx, id)
+	m, err := k.readManifest(ctx, id, r.Parts)
+	if err != nil {
+		return err
+	}
+	saved, err := k.readProgress(ctx, id)
 	if err != nil {
 		return err
 	}
@@ -154,7 +174,9 @@
 		return err
 	}
 	k.log(id).WithFields(logrus.Fields{"former-owner": former, "listed": r.Listed, "total": r.Total, "version": version}).Info("job taken over")
-	k.adopt(newJob(m, r, version, listed))
+	j := newJob(m, r, version, listed)
+	j.restore(saved)
+	k.adopt(j)
 	return nil
 }
 
@@ -268,9 +290,10 @@
 	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
 	defer cancel()
 	j.mu.Lock()
-	results := j.pending
+	results := firstResults(j.pending)
 	next := j.record
 	version := j.version
+	saved, events := j.progress()
 	j.mu.Unlock()
 	if len(results) == 0 {
 		return nil
@@ -282,6 +305,9 @@
 	if err != nil {
 		return err
 	}
+	if err := k.addProgress(&t, j.manifest.Job, saved, next.Done); err != nil {
+		return err
+	}
 	version, err = k.cfg.Store.Commit(ctx, t)
 	if errors.Is(err, storer.ErrConflict) {
 		return k.settle(ctx, j, results, next)
@@ -290,6 +316,38 @@
 		return err
 	}
 	k.listed(j, results, next, version)
+	j.mu.Lock()
+	j.saved = events
+	j.mu.Unlock()
+	return nil
+}
+
+// firstResults are as many results as one value holds.
+func firstResults(pending []Result) []Result {
+	size := 0
+	for i, r := range pending {
+		size += len(r.Text)
+		if size > maxValueBytes && i > 0 {
+			return pending[:i]
+		}
+	}
+	return pending
+}
+
+// addProgress saves how far the open items are with a write that is made anyway.
+func (k *Keeper) addProgress(t *storer.Transaction, id string, saved []Progress, done bool) error {
+	if done {
+		t.Remove = append(t.Remove, k.key(progressKey(id)))
+		return nil
+	}
+	if len(saved) == 0 {
+		return nil
+	}
+	value, err := cbor.Marshal(saved)
+	if err != nil {
+		return err
+	}
+	t.Writes = append(t.Writes, storer.Write{Key: k.key(progressKey(id)), Value: value})
 	return nil
 }
 
@@ -347,13 +405,13 @@
 	j.announce()
 }
 
-// flushAll writes what is pending when the instance leaves.
+// flushAll writes what is pending, and the progress, when the instance leaves.
 func (k *Keeper) flushAll(ctx context.Context) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
 	for i := range k.shards {
 		for _, j := range k.shards[i].all() {
-			err = errors.Join(err, k.flush(ctx, j))
+			err = errors.Join(err, k.flush(ctx, j), k.save(ctx, j, 1))
 		}
 	}
 	return merry.Prepend(err, "write the last results")
--- a/internal/jobkeeper/query.go
+++ b/internal/jobkeeper/query.go
@@ -280,7 +280,14 @@
 	case response.Owned:
 		return nil, notFound
 	}
-	m, err := k.readManifest(ctx, id)
+	c, refusal := k.fresh(ctx, id)
+	if refusal != nil {
+		return nil, refusal
+	}
+	c.mu.Lock()
+	parts := c.record.Parts
+	c.mu.Unlock()
+	m, err := k.readManifest(ctx, id, parts)
 	if err != nil {
 		return nil, k.storeRefusal(id, err)
 	}
--- a/internal/jobkeeper/sweep.go
+++ b/internal/jobkeeper/sweep.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strings"
 	"time"
 
@@ -19,6 +20,9 @@
 	sweepPeriod = 20 * time.Second
 	// sweepDelay gathers the causes of a look: members come and go in groups.
 	sweepDelay = 400 * time.Millisecond
+	// maxRemovals bounds the keys that one transaction removes; the store takes
+	// 32 entries.
+	maxRemovals = 28
 	// sweepRetry is the pause after a look that failed.
 	sweepRetry = time.Second
 )
@@ -151,15 +155,31 @@
 
 func canOwn(m enroller.Member) bool { return !m.Leaving }
 
+// removeSegments deletes values beyond those that one transaction takes.
+func (k *Keeper) removeSegments(ctx context.Context, keys []string) {
+	for group := range slices.Chunk(keys, maxRemovals) {
+		if _, err := k.cfg.Store.Commit(ctx, storer.Transaction{Remove: group}); err != nil {
+			k.cfg.Logger.WithError(err).Warn("segments of an expired job not removed")
+		}
+	}
+}
+
 // remove deletes a job whose results are not kept any longer.
 func (k *Keeper) remove(ctx context.Context, id string, r Record, version int64) {
 	t := storer.Transaction{
 		Expect: []storer.Expectation{{Key: k.key(recordKey(id)), Version: version}},
-		Remove: []string{k.key(recordKey(id)), k.key(manifestKey(id)), k.cfg.EndPrefix + id},
+		Remove: []string{k.key(recordKey(id)), k.key(progressKey(id)), k.cfg.EndPrefix + id},
+	}
+	for n := range r.Parts {
+		t.Remove = append(t.Remove, k.key(manifestKey(id, n)))
 	}
 	for n := range r.Segments {
 		t.Remove = append(t.Remove, k.key(segmentKey(id, n)))
 	}
+	if excess := len(t.Remove) - maxRemovals; excess > 0 {
+		k.removeSegments(ctx, t.Remove[maxRemovals:])
+		t.Remove = t.Remove[:maxRemovals]
+	}
 	if _, err := k.cfg.Store.Commit(ctx, t); err != nil {
 		k.log(id).WithError(err).Warn("expired job not removed")
 		return
--- a/internal/jobkeeper/work.go
+++ b/internal/jobkeeper/work.go
@@ -99,6 +99,25 @@
 	return o
 }
 
+// progress is how far the item is.
+func (w *work) progress() Progress {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return Progress{After: w.after, Events: w.events, Text: w.text.String()}
+}
+
+// add takes the next event.
+func (w *work) add(event forwarder.Event) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.events > 0 {
+		w.text.WriteByte('\n')
+	}
+	w.text.Write(sender.EventData(event.Raw))
+	w.events++
+	w.after = event.ID
+}
+
 func (w *work) begin(cancel context.CancelFunc) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -200,12 +219,7 @@
 		if err != nil {
 			return k.afterError(w, err)
 		}
-		if w.events > 0 {
-			w.text.WriteByte('\n')
-		}
-		w.text.Write(sender.EventData(event.Raw))
-		w.events++
-		w.after = event.ID
+		w.add(event)
 	}
 }
 
