--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -21,10 +21,11 @@
 
 const (
 	// leaseTime is how long an instance counts as present after its last
-	// renewal. A killed process is back sooner than that.
-	leaseTime = 4 * time.Second
-	// renewPeriod leaves three renewals within leaseTime.
-	renewPeriod = 1300 * time.Millisecond
+	// renewal. A killed process is back sooner than that, and a failure domain
+	// that is cut off for some six seconds keeps its jobs.
+	leaseTime = 8500 * time.Millisecond
+	// renewPeriod leaves five renewals within leaseTime.
+	renewPeriod = 1500 * time.Millisecond
 	// retryPeriod is the pause after a failed call.
 	retryPeriod = 400 * time.Millisecond
 	// reservedTime is how long the part of an instance that vanished without
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,6 +42,8 @@
 	Loads    []balancer.ServerLoad `cbor:"loads"`
 	Usages   []apportioner.Usage   `cbor:"usages"`
 	Versions map[string]int64      `cbor:"versions"` // Of the copies of the store, by name.
+	// Connected says that the copies come from the store itself.
+	Connected bool `cbor:"connected"`
 }
 
 // A copyRequest asks for a copy by name.
@@ -89,6 +92,8 @@
 	heardAt time.Time
 	counted bool // Its load is counted.
 	heard   bool // The last exchange succeeded.
+
+	connected bool // It reaches the store.
 }
 
 // New registers the handlers of a gossiper. It is called before the links start.
@@ -178,8 +183,10 @@
 
 func (g *Gossiper) report() Report {
 	r := Report{Loads: g.cfg.Balancer.LocalLoads(), Usages: g.cfg.Quotas.Report(), Versions: map[string]int64{}}
+	r.Connected = true
 	for name, source := range g.cfg.Sources {
 		r.Versions[name] = source.Version()
+		r.Connected = r.Connected && source.Connected()
 	}
 	return r
 }
@@ -218,6 +225,7 @@
 	}
 	regained := !p.heard
 	p.heardAt, p.counted, p.heard = g.cfg.Clock.Now(), true, true
+	p.connected = r.Connected
 	g.mu.Unlock()
 	g.cfg.Heard(id)
 	if regained {
@@ -228,12 +236,19 @@
 	g.fetchNewer(id, r.Versions)
 }
 
-// Heard reports whether the last exchange with a peer succeeded.
-func (g *Gossiper) Heard(id string) bool {
+// StorePeers are the peers that reach the store and were heard lately, the one
+// heard last first.
+func (g *Gossiper) StorePeers() []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	p := g.peers[id]
-	return p != nil && p.heard
+	var ids []string
+	for id, p := range g.peers {
+		if p.heard && p.connected {
+			ids = append(ids, id)
+		}
+	}
+	slices.SortFunc(ids, func(a, b string) int { return g.peers[b].heardAt.Compare(g.peers[a].heardAt) })
+	return ids
 }
 
 // fetchNewer asks a peer for the copies that are newer than those here, where
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -51,6 +51,7 @@
 	KindReturn          Kind = "return"
 	KindSnapshot        Kind = "snapshot"
 	KindSnapshotRequest Kind = "snapshot-request"
+	KindStore           Kind = "store"
 	KindSuspect         Kind = "suspect"
 	KindYield           Kind = "yield"
 )
