feat: probes find out about unreachable servers, and changes are gathered

Cause: each request that met a server behind a cut waited 300 ms for a connection, and servers were tried again by requests.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/sirupsen/logrus"
 )
 
 // Errors of a choice.
@@ -55,12 +56,15 @@
 // A Clock tells the time.
 type Clock interface {
 	Now() time.Time
+	After(d time.Duration) <-chan time.Time
 }
 
 // A Config places a balancer in the fleet.
 type Config struct {
 	Clock         Clock
 	FailureDomain string
+	Probe         Probe
+	Logger        logrus.FieldLogger
 }
 
 // A Balancer holds the servers of all services, one shard for each service.
@@ -124,7 +128,7 @@
 	if p == nil {
 		return nil, ErrNoServer
 	}
-	return p.acquire(q, b.cfg.FailureDomain, b.cfg.Clock)
+	return p.acquire(q, b.cfg)
 }
 
 // WaitRoom returns a channel that is closed when work of the service ends, so
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -1,10 +1,13 @@
 package balancer
 
 import (
+	"context"
+	"io"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 )
 
@@ -13,11 +16,30 @@
 type rig struct {
 	clock *clockwork.FakeClock
 	b     *Balancer
+
+	reached bool // By probes.
+}
+
+// Probe implements Probe.
+func (r *rig) Probe(context.Context, Backend) error {
+	if r.reached {
+		return nil
+	}
+	return io.ErrUnexpectedEOF
+}
+
+// probe makes the probes that are due.
+func (r *rig) probe() {
+	for _, d := range r.b.dueProbes() {
+		r.b.probe(context.Background(), d)
+	}
 }
 
 func newRig(ids ...string) *rig {
 	r := &rig{clock: clockwork.NewFakeClock()}
-	r.b = New(Config{Clock: r.clock, FailureDomain: "d1"})
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	r.b = New(Config{Clock: r.clock, FailureDomain: "d1", Probe: r, Logger: logger})
 	var backends []Backend
 	for _, id := range ids {
 		backends = append(backends, Backend{ID: id, Service: service, Address: id + ":1", FailureDomain: "d1", Slots: 4})
@@ -92,13 +114,38 @@
 
 // TestHealth guards against requests that keep going to a server that fails.
 func TestHealth(t *testing.T) {
-	t.Run("an unreachable server is avoided for a while", func(t *testing.T) {
+	t.Run("an unreachable server is avoided until a probe reaches it", func(t *testing.T) {
 		r := newRig("a", "b")
-		p := r.acquire(t, Online, "b")
-		p.Release(OutcomeUnreachable)
+		r.acquire(t, Online, "b").Release(OutcomeUnreachable)
+		r.clock.Advance(time.Minute)
+		r.probe()
 		for range 3 {
 			assert.Equal(t, r.acquire(t, Online).Backend.ID, "b")
 		}
+		r.reached = true
+		r.clock.Advance(probePause)
+		r.probe()
+		assert.Equal(t, r.acquire(t, Online).Backend.ID, "a")
+	})
+	t.Run("a failure domain that is cut off is noticed after two of its servers", func(t *testing.T) {
+		r := newRig("a", "b", "c", "d")
+		r.b.Install([]Backend{
+			{ID: "a", Service: service, Slots: 4, FailureDomain: "d2"}, {ID: "b", Service: service, Slots: 4, FailureDomain: "d2"},
+			{ID: "c", Service: service, Slots: 4, FailureDomain: "d2"}, {ID: "d", Service: service, Slots: 4, FailureDomain: "d3"},
+		})
+		r.acquire(t, Online, "b", "c", "d").Release(OutcomeUnreachable)
+		r.acquire(t, Online, "a", "c", "d").Release(OutcomeUnreachable)
+		for range 4 {
+			assert.Equal(t, r.acquire(t, Online).Backend.ID, "d")
+		}
+		r.reached = true
+		r.probe()
+		assert.Equal(t, r.acquire(t, Online).Backend.ID, "c")
+	})
+	t.Run("a silent server is tried again after a while", func(t *testing.T) {
+		r := newRig("a", "b")
+		r.acquire(t, Online, "b").Release(OutcomeSilent)
+		assert.Equal(t, r.acquire(t, Online).Backend.ID, "b")
 		r.clock.Advance(maxSuspicion)
 		assert.Equal(t, r.acquire(t, Online).Backend.ID, "a")
 	})
--- a/internal/balancer/health.go
+++ b/internal/balancer/health.go
@@ -10,6 +10,9 @@
 	// fullPause is how long a server that refused a request as full is avoided;
 	// a slot becomes free within about this time.
 	fullPause = 60 * time.Millisecond
+	// probePause is the time between two probes of an unreachable server. A probe
+	// is a connection, which costs little; a request that waits for one is late.
+	probePause = 300 * time.Millisecond
 	// lostBeforeSuspicion is the number of lost answers in a row after which
 	// the server itself is suspected and not the connection.
 	lostBeforeSuspicion = 3
@@ -21,10 +24,13 @@
 	failures       int // In a row.
 	lost           int // In a row.
 	misdirected    bool
+	unreachable    bool // No connection could be made; a probe finds out when one can.
+	probing        bool
+	probeAt        time.Time // Of the next probe while it is unreachable.
 }
 
 func (h *health) suspected(now time.Time) bool {
-	return now.Before(h.suspectedUntil)
+	return h.unreachable || now.Before(h.suspectedUntil)
 }
 
 // begin renews the suspicion of a server that is tried again, so that one
@@ -38,8 +44,7 @@
 func (h *health) learn(outcome Outcome, now time.Time) {
 	switch outcome {
 	case OutcomeDone:
-		h.failures, h.lost = 0, 0
-		h.suspectedUntil = time.Time{}
+		*h = health{misdirected: h.misdirected}
 	case OutcomeFull:
 		h.suspectedUntil = now.Add(fullPause)
 	case OutcomeMisdirected:
@@ -49,8 +54,11 @@
 		if h.lost >= lostBeforeSuspicion {
 			h.suspect(now)
 		}
-	case OutcomeSilent, OutcomeUnreachable:
+	case OutcomeSilent:
 		h.suspect(now)
+	case OutcomeUnreachable:
+		h.unreachable = true
+		h.probeAt = now.Add(probePause)
 	}
 }
 
@@ -59,3 +67,14 @@
 	h.failures++
 	h.suspectedUntil = now.Add(pause)
 }
+
+// probed learns from a probe.
+func (h *health) probed(reached bool, now time.Time) {
+	h.probing = false
+	if reached {
+		h.unreachable = false
+		return
+	}
+	h.unreachable = true
+	h.probeAt = now.Add(probePause)
+}
--- a/internal/balancer/placement.go
+++ b/internal/balancer/placement.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/sirupsen/logrus"
 )
 
 // An Outcome says how a server dealt with the work that was placed on it.
@@ -27,7 +29,7 @@
 	class     Class
 	pool      *pool
 	server    *server
-	clock     Clock
+	cfg       Config
 	startedAt time.Time
 	displaced chan struct{} // Closed when batch work has to leave; nil for online requests.
 	vacating  bool          // It was displaced; guarded by the lock of the pool.
@@ -56,7 +58,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := placement.server
-	now := placement.clock.Now()
+	now := placement.cfg.Clock.Now()
 	if placement.class == Batch {
 		s.local.Batch--
 		if placement.vacating {
@@ -70,6 +72,16 @@
 			p.duration += time.Duration(durationWeight * float64(took-p.duration))
 		}
 	}
+	before := s.health.suspected(now)
 	s.health.learn(outcome, now)
+	suspected := 0
+	if outcome == OutcomeUnreachable {
+		suspected = p.suspectDomain(s.FailureDomain, now)
+	}
+	if after := s.health.suspected(now); after != before && outcome != OutcomeFull {
+		placement.cfg.Logger.WithFields(logrus.Fields{
+			"backend-server": s.ID, "failure-domain": s.FailureDomain, "outcome": outcome, "suspected": after, "probed-with-it": suspected,
+		}).Info("belief about a backend server changed")
+	}
 	p.signalRoom()
 }
--- a/internal/balancer/pool.go
+++ b/internal/balancer/pool.go
@@ -100,10 +100,10 @@
 	return n
 }
 
-func (p *pool) acquire(q Query, domain string, clock Clock) (*Placement, error) {
+func (p *pool) acquire(q Query, cfg Config) (*Placement, error) {
 	p.mu.Lock()
-	now := clock.Now()
-	s := p.best(q, domain, now)
+	now := cfg.Clock.Now()
+	s := p.best(q, cfg.FailureDomain, now)
 	if s == nil {
 		defer p.mu.Unlock()
 		return nil, ErrNoServer
@@ -112,7 +112,7 @@
 		defer p.mu.Unlock()
 		return nil, ErrFull
 	}
-	placement := &Placement{Backend: s.Backend, Load: s.load(), class: q.Class, pool: p, server: s, clock: clock, startedAt: now}
+	placement := &Placement{Backend: s.Backend, Load: s.load(), class: q.Class, pool: p, server: s, cfg: cfg, startedAt: now}
 	s.health.begin(now)
 	var displaced *Placement
 	if q.Class == Batch {
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -49,6 +49,9 @@
 	// HoldRemovals is how long a key that vanished while the store was away is
 	// kept after the return of the store; its owner may write it again.
 	HoldRemovals time.Duration
+	// Gather is the pause after changes, so that those that come close together
+	// cost one call.
+	Gather time.Duration
 	// Changed is called after each change of the copy, never concurrently.
 	Changed func(c Copy)
 }
@@ -134,6 +137,9 @@
 		return err
 	}
 	f.apply(changes, version)
+	if len(changes) > 0 {
+		wait(ctx, f.cfg.Clock, f.cfg.Gather)
+	}
 	return nil
 }
 
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -72,14 +72,14 @@
 
 func newRig(script ...func(Attempt) (*Answer, error)) *rig {
 	clock := clockwork.NewFakeClock()
-	placer := balancer.New(balancer.Config{Clock: clock, FailureDomain: "d1"})
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	placer := balancer.New(balancer.Config{Clock: clock, FailureDomain: "d1", Logger: logger})
 	var backends []balancer.Backend
 	for _, id := range []string{"a", "b", "c", "d", "e"} {
 		backends = append(backends, balancer.Backend{ID: id, Service: "s", Address: id, Slots: 4})
 	}
 	placer.Install(backends)
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
 	engines := &scriptedEngines{script: script}
 	return &rig{engines: engines, clock: clock, f: New(Config{
 		Clock: clock, Engines: engines, Placer: placer, Logger: logger, Suspects: retrier.New(retrier.Config{Clock: clock}),
--- a/internal/jobkeeper/jobkeeper_test.go
+++ b/internal/jobkeeper/jobkeeper_test.go
@@ -189,7 +189,9 @@
 func (r *rig) keeper(t *testing.T, id string) *Keeper {
 	t.Helper()
 	clock := clockwork.NewRealClock()
-	placer := balancer.New(balancer.Config{Clock: clock})
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	placer := balancer.New(balancer.Config{Clock: clock, Logger: logger})
 	var backends []balancer.Backend
 	for _, server := range []string{"a", "b", "c"} {
 		backends = append(backends, balancer.Backend{ID: server, Service: "s", Address: server, Slots: 8})
@@ -200,8 +202,6 @@
 		Name: "r", Kind: steerer.KindBatch, MaxAttempts: 2, Targets: []steerer.Target{{Service: "s", Weight: 1}},
 		Due: time.Minute, MaxWait: time.Minute,
 	}}})
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
 	self := enroller.Member{ID: id, Incarnation: id + "-1"}
 	r.terms[id] = &term{n: 1, held: true}
 	k := New(Config{
