--- a/internal/jobkeeper/ledger.go
+++ b/internal/jobkeeper/ledger.go
@@ -18,6 +18,12 @@
 const (
 	// createTries bounds the writes of one submission whose answers are lost.
 	createTries = 3
+	// createTimeout bounds one of them. It is above what a slow store takes, and
+	// leaves time for a second one within the goal of most routes.
+	createTimeout = 300 * time.Millisecond
+	// submitRetryAfter sends a caller to another instance, which may reach the
+	// store.
+	submitRetryAfter = 50 * time.Millisecond
 	// flushDelay gathers the results of a job into one write. It is well below
 	// the time for which callers wait for a result.
 	flushDelay = 900 * time.Millisecond
@@ -57,10 +63,12 @@
 	t.Writes = append(t.Writes, storer.Write{Key: k.key(recordKey(m.Job)), Value: record})
 	inDoubt := false
 	for range createTries {
-		version, err = k.cfg.Store.Commit(ctx, t)
+		version, err = k.createOnce(ctx, t)
 		switch {
 		case err == nil:
 			return true, version, nil
+		case errors.Is(err, storer.ErrConflict) && inDoubt:
+			return k.createdBefore(ctx, r, m.Job)
 		case errors.Is(err, storer.ErrConflict):
 			return false, 0, nil
 		case errors.Is(err, storer.ErrUnknownEffect):
@@ -68,9 +76,6 @@
 		case !inDoubt:
 			return false, 0, err
 		}
-		if ctx.Err() != nil {
-			break
-		}
 	}
 	if inDoubt {
 		err = storer.ErrUnknownEffect
@@ -78,6 +83,22 @@
 	return false, 0, err
 }
 
+func (k *Keeper) createOnce(ctx context.Context, t storer.Transaction) (version int64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, createTimeout)
+	defer cancel()
+	return k.cfg.Store.Commit(ctx, t)
+}
+
+// createdBefore tells whether the record that a repeated write met is that of the
+// write before it, whose answer was lost.
+func (k *Keeper) createdBefore(ctx context.Context, r *Record, id string) (created bool, version int64, err error) {
+	present, version, err := k.readRecord(ctx, id)
+	if err != nil {
+		return false, 0, storer.ErrUnknownEffect
+	}
+	return present.Owner == r.Owner && present.Incarnation == r.Incarnation, version, nil
+}
+
 // submitRefusal promises that no item runs only where nothing was written.
 func (k *Keeper) submitRefusal(m Manifest, err error) *refuser.Refusal {
 	k.log(m.Job).WithError(err).Warn("job not accepted")
@@ -86,7 +107,7 @@
 		return refuser.New(refuser.InDoubt, refuser.Unknown, "it is unknown whether the job was accepted")
 	}
 	refusal := refuser.New(refuser.PlatformUnavailable, refuser.NotRun, "the platform's store cannot be reached")
-	refusal.RetryAfter = flushRetry
+	refusal.RetryAfter = submitRetryAfter
 	return refusal
 }
 
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -21,9 +21,9 @@
 	relayTimeout = 1500 * time.Millisecond
 	// maxPeers bounds the peers that one call is tried through.
 	maxPeers = 2
-	// directPause is how long calls go through peers first after the store could
-	// not be reached from here.
-	directPause = time.Second
+	// directPause is how long calls go through peers, or fail at once where no
+	// peer reaches the store, after it could not be reached from here.
+	directPause = 700 * time.Millisecond
 )
 
 // A Store is the platform's store as seen from this instance.
@@ -162,18 +162,15 @@
 }
 
 // do calls the store directly, and through peers where it certainly had no
-// effect. While the store cannot be reached from here, peers come first.
+// effect. While the store is out of reach from here, only peers are tried: a
+// caller that is refused at once can go to another instance.
 func (r *Relayer) do(ctx context.Context, q request) (answer response, err error) {
-	relayed := r.prefersPeers()
-	if relayed {
-		answer, err = r.relay(ctx, q)
-		if !errors.Is(err, storer.ErrUnavailable) {
-			return answer, err
-		}
+	if r.avoidsDirect() {
+		return r.relay(ctx, q)
 	}
 	answer, err = r.direct(ctx, q)
 	r.note(err)
-	if !errors.Is(err, storer.ErrUnavailable) || relayed || ctx.Err() != nil {
+	if !errors.Is(err, storer.ErrUnavailable) || ctx.Err() != nil {
 		return answer, err
 	}
 	through, relayErr := r.relay(ctx, q)
@@ -183,10 +180,20 @@
 	return through, relayErr
 }
 
-func (r *Relayer) prefersPeers() bool {
+// avoidsDirect reports whether the store was out of reach just now. After
+// directPause one call finds out whether it still is.
+func (r *Relayer) avoidsDirect() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return !r.failedAt.IsZero() && r.cfg.Clock.Now().Sub(r.failedAt) < directPause
+	now := r.cfg.Clock.Now()
+	if r.failedAt.IsZero() {
+		return false
+	}
+	if now.Sub(r.failedAt) < directPause {
+		return true
+	}
+	r.failedAt = now
+	return false
 }
 
 // note remembers whether the store can be reached from here.
--- /dev/null
+++ b/internal/relayer/relayer_test.go
@@ -0,0 +1,155 @@
+package relayer
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/emulator/storeemulator"
+	"github.com/quetzalhitch/quetzalhitch/internal/linker"
+	"github.com/quetzalhitch/quetzalhitch/internal/storer"
+)
+
+// A pair is two relayers: a, and its peer b.
+type pair struct {
+	clock        *clockwork.FakeClock
+	book         *storeemulator.Store
+	a, b         *Relayer
+	aDown, bDown bool
+	lost         bool // Answers of b to a are lost.
+	handler      linker.Handler
+	peers        []string
+}
+
+// StorePeers implements Peers.
+func (p *pair) StorePeers() []string { return p.peers }
+
+// gate is the store as one instance reaches it.
+type gate struct {
+	*storeemulator.Store
+	down  *bool
+	calls int
+}
+
+func (g *gate) Get(ctx context.Context, key string) (storer.Entry, error) {
+	g.calls++
+	if *g.down {
+		return storer.Entry{}, storer.ErrUnavailable
+	}
+	return g.Store.Get(ctx, key)
+}
+
+func (g *gate) Commit(ctx context.Context, t storer.Transaction) (int64, error) {
+	g.calls++
+	if *g.down {
+		return 0, storer.ErrUnavailable
+	}
+	return g.Store.Commit(ctx, t)
+}
+
+type fakeLinks struct {
+	p    *pair
+	self string
+}
+
+func (l fakeLinks) Handle(_ linker.Kind, h linker.Handler) {
+	if l.self == "b" {
+		l.p.handler = h
+	}
+}
+
+func (l fakeLinks) Call(ctx context.Context, _ string, _ linker.Kind, request, response any) error {
+	payload, err := linker.Marshal(request)
+	if err != nil {
+		return err
+	}
+	answer, err := l.p.handler.Handle(ctx, l.self, payload)
+	if err != nil {
+		return linker.ErrRemote
+	}
+	if l.p.lost {
+		return linker.ErrUnknownEffect
+	}
+	return linker.Unmarshal(answer, response)
+}
+
+func newPair() (*pair, *gate) {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	p := &pair{clock: clockwork.NewFakeClock(), peers: []string{"b"}}
+	p.book = storeemulator.New(p.clock)
+	direct := &gate{Store: p.book, down: &p.aDown}
+	p.a = New(Config{Direct: direct, Links: fakeLinks{p, "a"}, Clock: p.clock, Logger: logger})
+	p.b = New(Config{Direct: &gate{Store: p.book, down: &p.bDown}, Links: fakeLinks{p, "b"}, Clock: p.clock, Logger: logger})
+	p.a.SetPeers(p)
+	return p, direct
+}
+
+var write = storer.Transaction{Expect: []storer.Expectation{{Key: "k"}}, Writes: []storer.Write{{Key: "k", Value: []byte("v")}}}
+
+func assertCommit(t *testing.T, r *Relayer, want error) {
+	t.Helper()
+	_, err := r.Commit(t.Context(), write)
+	if want == nil {
+		assert.NilError(t, err)
+		return
+	}
+	assert.ErrorIs(t, err, want)
+}
+
+// TestRelay guards against instances that do without the store though a peer
+// reaches it, and against writes that are made twice or wrongly said to have had
+// no effect.
+func TestRelay(t *testing.T) {
+	t.Run("directly", func(t *testing.T) {
+		p, _ := newPair()
+		p.bDown = true
+		assertCommit(t, p.a, nil)
+	})
+	t.Run("through the peer", func(t *testing.T) {
+		p, _ := newPair()
+		p.aDown = true
+		assertCommit(t, p.a, nil)
+		entry, err := p.a.Get(t.Context(), "k")
+		assert.NilError(t, err)
+		assert.Equal(t, string(entry.Value), "v")
+		assertCommit(t, p.a, storer.ErrConflict)
+		_, err = p.a.Get(t.Context(), "missing")
+		assert.ErrorIs(t, err, storer.ErrNotFound)
+	})
+	t.Run("neither", func(t *testing.T) {
+		p, _ := newPair()
+		p.aDown, p.bDown = true, true
+		assertCommit(t, p.a, storer.ErrUnavailable)
+	})
+	t.Run("the answer of the peer is lost", func(t *testing.T) {
+		p, _ := newPair()
+		p.aDown, p.lost = true, true
+		assertCommit(t, p.a, storer.ErrUnknownEffect)
+	})
+	t.Run("no peer", func(t *testing.T) {
+		p, direct := newPair()
+		p.aDown, p.peers = true, nil
+		assertCommit(t, p.a, storer.ErrUnavailable)
+		calls := direct.calls
+		assertCommit(t, p.a, storer.ErrUnavailable)
+		assert.Equal(t, direct.calls, calls, "the store was asked again at once")
+		p.clock.Advance(directPause)
+		p.aDown = false
+		assertCommit(t, p.a, nil)
+	})
+	t.Run("a lease", func(t *testing.T) {
+		p, _ := newPair()
+		lease, err := p.a.GrantLease(t.Context(), time.Second)
+		assert.NilError(t, err)
+		_, err = p.a.RenewLease(t.Context(), lease)
+		assert.NilError(t, err)
+		_, err = p.a.RenewLease(t.Context(), storer.Lease{ID: 99, TTL: time.Second})
+		assert.ErrorIs(t, err, storer.ErrLeaseExpired)
+	})
+}
