feat: home servers, short reports between instances, hints of owners

The instances of a failure domain divide its servers; others cost more and are chosen with noise. Peers are told of new jobs, and members that join cause no look at all records.

--- a/internal/apportioner/account.go
+++ b/internal/apportioner/account.go
@@ -8,19 +8,22 @@
 // An account is the bucket of one workspace as this instance knows it.
 type account struct {
 	contract Contract
-	level    float64 // Tokens left to the group; negative after admissions that were learned late.
-	own      float64 // Tokens of the level that this instance may use before it hears of the others again.
-	admitted float64 // By this instance since it started.
-	demand   float64 // Requests per second, decaying.
-	shared   float64 // Demand when a peer was heard last. Shares follow it, so that a cut leaves them as they are.
-	updated  time.Time
-	peers    map[string]peerUsage // By instance ID.
-	informed bool                 // A peer has told its level.
+	level    float64   // Tokens left to the group; negative after admissions that were learned late.
+	own      float64   // Tokens of the level that this instance may use before it hears of the others again.
+	admitted uint64    // By this instance since it started.
+	askedAt  time.Time // Of the last request.
+
+	grantedAt time.Time // Of the last grant.
+	demand    float64   // Requests per second, decaying.
+	shared    float64   // Demand when a peer was heard last. Shares follow it, so that a cut leaves them as they are.
+	updated   time.Time
+	peers     map[string]peerUsage // By instance ID.
+	informed  bool                 // A peer has told its level.
 }
 
 // A peerUsage is the last report of a peer.
 type peerUsage struct {
-	admitted float64
+	admitted uint64
 	demand   float64
 	at       time.Time
 }
@@ -72,18 +75,29 @@
 func (a *account) admit(st standing, now time.Time) Decision {
 	a.advance(st, now)
 	a.demand += 1 / demandMemory.Seconds()
+	a.askedAt = now
 	d := Decision{Level: a.level, Share: a.share(st, now)}
-	if a.own < 1 || a.level < 1-a.slack(st) {
+	if !a.hasToken(st) {
 		d.RetryAfter = a.wait(st, d.Share)
 		return d
 	}
 	a.level--
-	a.own = max(a.own-1, 0)
+	a.own--
 	a.admitted++
 	d.Admitted = true
 	return d
 }
 
+// hasToken reports whether this instance may use a token.
+func (a *account) hasToken(st standing) bool {
+	if a.own >= 1 {
+		return a.level >= 1-a.slack(st)
+	}
+	half := lendLevel * a.contract.Burst * st.group
+	lent := max(1, half/float64(st.members))
+	return a.own >= 1-lent && a.level >= max(1, half)
+}
+
 // slack lets an instance use its own part of the refill while the level, which
 // it knows late, is just below one.
 func (a *account) slack(st standing) float64 {
@@ -100,23 +114,33 @@
 	return time.Duration(missing / rate * float64(time.Second))
 }
 
-// learn counts what a peer admitted since its last report.
-func (a *account) learn(peer string, u Usage, st standing, now time.Time) {
+// learn counts what a peer admitted since its last report. The first report of a
+// peer tells what it admitted before it was heard.
+func (a *account) learn(peer string, u Usage, first bool, st standing, now time.Time) {
 	a.advance(st, now)
-	last, known := a.peers[peer]
+	last := a.peers[peer]
 	switch {
-	case !known:
+	case first:
 		if !a.informed {
-			a.level = min(max(u.Level, a.level), a.contract.Burst*st.group)
+			a.level = min(max(float64(u.Level), a.level), a.contract.Burst*st.group)
 			a.informed = true
 		}
 	case u.Admitted >= last.admitted:
-		a.level -= u.Admitted - last.admitted
+		a.level -= float64(u.Admitted - last.admitted)
 	default:
-		a.level -= u.Admitted // The peer started anew.
+		a.level -= float64(u.Admitted) // The peer started anew.
 	}
-	a.level = max(a.level, -a.contract.Burst)
-	a.peers[peer] = peerUsage{admitted: u.Admitted, demand: u.Demand, at: now}
+	a.level = max(a.level, -a.contract.Burst-debtTime.Seconds()*a.contract.Rate)
+	a.peers[peer] = peerUsage{admitted: u.Admitted, demand: float64(u.Demand), at: now}
+}
+
+// grant lets this instance use its share of what is left.
+func (a *account) grant(st standing, now time.Time) {
+	if now.Sub(a.grantedAt) < min(time.Duration(st.members)*grantPerMember, maxGrantPeriod) {
+		return
+	}
+	a.advance(st, now)
+	a.grantedAt = now
 	a.shared = a.demand
 	a.own = max(a.own, a.level*a.share(st, now))
 }
--- a/internal/apportioner/apportioner.go
+++ b/internal/apportioner/apportioner.go
@@ -29,6 +29,21 @@
 	// demandMemory is the time over which demand is averaged. It is shorter than
 	// the bursts of a second or two that traffic comes in.
 	demandMemory = time.Second
+	// reportMemory is how long a workspace without requests is still reported.
+	// Reports that are lost in between are made up for.
+	reportMemory = 1500 * time.Millisecond
+	// grantPerMember and maxGrantPeriod give the time between two grants of the
+	// same tokens. The more instances there are, the more of the others' use has to
+	// become known before.
+	grantPerMember = 10 * time.Millisecond
+	maxGrantPeriod = 300 * time.Millisecond
+	// lendLevel is the part of the burst above which an instance without tokens of
+	// its own may use its equal part of the rest, and one at least: with many
+	// instances and a small burst, none would have a whole one otherwise.
+	lendLevel = 0.5
+	// debtTime is the time of the rate that admissions beyond the contract, which
+	// were learned late, may take to be made up for.
+	debtTime = 3 * time.Second
 	// minShare is the least part of the refill, relative to an equal part, that
 	// an instance keeps without demand, so that its first requests find a token.
 	minShare = 0.25
@@ -43,10 +58,11 @@
 
 // A Usage is what one instance admitted of a workspace.
 type Usage struct {
-	Workspace string  `cbor:"workspace"`
-	Admitted  float64 `cbor:"admitted"` // Since the instance started.
-	Demand    float64 `cbor:"demand"`   // Requests per second that asked, admitted or not.
-	Level     float64 `cbor:"level"`    // Tokens that the instance believes to be left.
+	_         struct{} `cbor:",toarray"`
+	Workspace string
+	Admitted  uint64  // Since the instance started.
+	Demand    float32 // Requests per second that asked, admitted or not.
+	Level     float32 // Tokens that the instance believes to be left.
 }
 
 // A Decision says whether a request is admitted.
@@ -166,7 +182,8 @@
 	return acc.admit(standing, now)
 }
 
-// Report is the usage of all workspaces by this instance.
+// Report is the usage by this instance of the workspaces that sent requests
+// lately. That of the others has not changed.
 func (a *Apportioner) Report() []Usage {
 	now := a.clock.Now()
 	standing := a.standing(now)
@@ -175,9 +192,9 @@
 		s := &a.shards[i]
 		s.mu.Lock()
 		for workspace, acc := range s.accounts {
-			if acc.contract.Rate > 0 {
+			if acc.contract.Rate > 0 && now.Sub(acc.askedAt) < reportMemory {
 				acc.advance(standing, now)
-				usages = append(usages, Usage{Workspace: workspace, Admitted: acc.admitted, Demand: acc.demand, Level: acc.level})
+				usages = append(usages, Usage{Workspace: workspace, Admitted: acc.admitted, Demand: float32(acc.demand), Level: float32(acc.level)})
 			}
 		}
 		s.mu.Unlock()
@@ -185,11 +202,12 @@
 	return usages
 }
 
-// Learn takes over the report of a peer.
+// Learn takes over the report of a peer. What it does not name has not changed.
 func (a *Apportioner) Learn(peer string, usages []Usage) {
 	now := a.clock.Now()
 	a.mu.Lock()
-	if _, member := a.heard[peer]; member {
+	at, member := a.heard[peer]
+	if member {
 		a.heard[peer] = now
 	}
 	a.mu.Unlock()
@@ -198,8 +216,22 @@
 		s := a.shard(u.Workspace)
 		s.mu.Lock()
 		if acc, ok := s.accounts[u.Workspace]; ok {
-			acc.learn(peer, u, standing, now)
+			acc.learn(peer, u, at.IsZero(), standing, now)
 		}
 		s.mu.Unlock()
 	}
+	for i := range a.shards {
+		a.shards[i].grant(standing, now)
+	}
+}
+
+// grant lets the workspaces that sent requests lately use what is left.
+func (s *shard) grant(st standing, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, acc := range s.accounts {
+		if now.Sub(acc.askedAt) < reportMemory {
+			acc.grant(st, now)
+		}
+	}
 }
--- a/internal/apportioner/apportioner_test.go
+++ b/internal/apportioner/apportioner_test.go
@@ -144,6 +144,53 @@
 	}
 }
 
+// spread gives each of n instances an equal part of a demand.
+func spread(n int, perSecond float64) []float64 {
+	load := make([]float64, n)
+	for i := range load {
+		load[i] = perSecond / float64(n)
+	}
+	return load
+}
+
+// TestMany guards against contracts that are too small to be divided among many
+// instances, and against many instances that admit too much together.
+func TestMany(t *testing.T) {
+	const n, window = 27, 5 * time.Second
+	t.Run("a small workspace inside its rate", func(t *testing.T) {
+		f := newFleet(n, 6, 6)
+		f.run(2*time.Second, spread(n, 1))
+		admitted, offered := f.offer(20*time.Second, spread(n, 4))
+		assertBetween(t, admitted, 0.97*float64(offered), float64(offered))
+	})
+	t.Run("a small workspace beyond its rate", func(t *testing.T) {
+		f := newFleet(n, 6, 6)
+		f.run(2*time.Second, spread(n, 1))
+		assertBetween(t, f.run(window, spread(n, 60)), 0.7*6*5, allowance(6, 6, window))
+	})
+	t.Run("a large workspace beyond its rate", func(t *testing.T) {
+		f := newFleet(n, 60, 60)
+		f.run(2*time.Second, spread(n, 10))
+		assertBetween(t, f.run(window, spread(n, 600)), 0.8*60*5, allowance(60, 60, window))
+	})
+	t.Run("all at one instance", func(t *testing.T) {
+		f := newFleet(n, 60, 60)
+		load := make([]float64, n)
+		load[3] = 50
+		f.run(2*time.Second, load)
+		admitted, offered := f.offer(4*time.Second, load)
+		assertBetween(t, admitted, 0.99*float64(offered), float64(offered))
+	})
+	t.Run("all cut", func(t *testing.T) {
+		f := newFleet(n, 60, 60)
+		f.run(2*time.Second, spread(n, 20))
+		for i := range f.instances {
+			f.cut[i] = true
+		}
+		assertBetween(t, f.run(window, spread(n, 600)), 0.5*60*5, allowance(60, 60, window))
+	})
+}
+
 // TestContracts guards against contracts that do not follow the policy.
 func TestContracts(t *testing.T) {
 	f := newFleet(1, 10, 10)
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -41,16 +41,18 @@
 
 // A Load counts requests in flight on a server.
 type Load struct {
-	Online int `cbor:"online"`
-	Batch  int `cbor:"batch"`
+	_      struct{} `cbor:",toarray"`
+	Online int
+	Batch  int
 }
 
 func (l Load) total() int { return l.Online + l.Batch }
 
 // A ServerLoad is the load that one instance puts on a server.
 type ServerLoad struct {
-	Server string `cbor:"server"`
-	Load   Load   `cbor:"load"`
+	_      struct{} `cbor:",toarray"`
+	Server string
+	Load   Load
 }
 
 // A Clock tells the time.
@@ -71,13 +73,20 @@
 type Balancer struct {
 	cfg Config
 
-	mu    sync.RWMutex // Guards the map; each pool has its own lock.
-	pools map[string]*pool
+	mu       sync.RWMutex // Guards the fields below; each pool has its own lock.
+	pools    map[string]*pool
+	position Position
+}
+
+// A Position is the place of an instance among those of its failure domain.
+type Position struct {
+	Index int // From 0.
+	Count int // At least 1.
 }
 
 // New returns a balancer without servers.
 func New(cfg Config) *Balancer {
-	return &Balancer{cfg: cfg, pools: map[string]*pool{}}
+	return &Balancer{cfg: cfg, pools: map[string]*pool{}, position: Position{Count: 1}}
 }
 
 // Install takes over the whole list of servers. The load of kept servers stays.
@@ -95,6 +104,19 @@
 	}
 	for service, p := range b.pools {
 		p.install(byService[service])
+		p.assignHome(b.cfg.FailureDomain, b.position)
+	}
+}
+
+// SetPosition says which servers of the failure domain are home to this instance.
+// The instances of a domain divide its servers, so that the load of most servers
+// is known at once to the one instance that uses them.
+func (b *Balancer) SetPosition(position Position) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.position = position
+	for _, p := range b.pools {
+		p.assignHome(b.cfg.FailureDomain, position)
 	}
 }
 
--- a/internal/balancer/pool.go
+++ b/internal/balancer/pool.go
@@ -12,6 +12,15 @@
 	// another failure domain has to have less before it is preferred: traffic
 	// between domains costs, and a request there is cut with them.
 	domainPenalty = 0.15
+	// awayPenalty is the load that a server that is not home has to have less
+	// before it is preferred. Its load is known late.
+	awayPenalty = 0.25
+	// awayNoise spreads the choices of instances that see the same servers with
+	// little load, so that they do not all take the same one.
+	awayNoise = 0.25
+	// awayBatchLoad is the part of its slots up to which a server that is not home
+	// takes batch work.
+	awayBatchLoad = 0.4
 	// batchReserve is the number of slots of a server that batch work leaves
 	// free, so that an online request finds a place without a wait.
 	batchReserve = 2
@@ -25,6 +34,7 @@
 // are guarded by the lock of its pool.
 type server struct {
 	Backend
+	home   bool // This instance uses it before others.
 	local  Load
 	peers  map[string]Load // By instance ID.
 	health health
@@ -88,6 +98,28 @@
 	p.signalRoom()
 }
 
+// assignHome divides the servers of the failure domain among its instances, in
+// the order of their IDs. Where there are fewer servers than instances, several
+// instances share one.
+func (p *pool) assignHome(domain string, position Position) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var local []*server
+	for _, s := range p.order {
+		s.home = false
+		if s.FailureDomain == domain && !s.Leaving {
+			local = append(local, s)
+		}
+	}
+	for i, s := range local {
+		if len(local) >= position.Count {
+			s.home = i*position.Count/len(local) == position.Index
+		} else {
+			s.home = position.Index*len(local)/position.Count == i
+		}
+	}
+}
+
 func (p *pool) candidates() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -108,7 +140,7 @@
 		defer p.mu.Unlock()
 		return nil, ErrNoServer
 	}
-	if q.Class == Batch && s.load() >= s.Slots-batchReserve || q.Class == Online && p.expectedWait(s) > q.MaxWait {
+	if q.Class == Batch && !s.takesBatch() || q.Class == Online && p.expectedWait(s) > q.MaxWait {
 		defer p.mu.Unlock()
 		return nil, ErrFull
 	}
@@ -182,10 +214,7 @@
 		if s.Leaving || s.health.misdirected || slices.Contains(q.Exclude, s.ID) || s.health.suspected(now) != suspects {
 			continue
 		}
-		cost := float64(s.load()) / float64(s.Slots)
-		if s.FailureDomain != domain {
-			cost += domainPenalty
-		}
+		cost := s.cost(domain)
 		if best == nil || cost < bestCost {
 			best, bestCost = s, cost
 		}
@@ -193,6 +222,28 @@
 	return best
 }
 
+// cost is the load of a server for its slots, with penalties for servers that
+// are not home. The lowest is chosen.
+func (s *server) cost(domain string) float64 {
+	cost := float64(s.load()) / float64(s.Slots)
+	if s.home {
+		return cost
+	}
+	cost += awayPenalty + awayNoise*rand.Float64()
+	if s.FailureDomain != domain {
+		cost += domainPenalty
+	}
+	return cost
+}
+
+// takesBatch reports whether the server has room for batch work.
+func (s *server) takesBatch() bool {
+	if s.home {
+		return s.load() < s.Slots-batchReserve
+	}
+	return float64(s.load()) < awayBatchLoad*float64(s.Slots)
+}
+
 // expectedWait is the time until the server has a place for one more online
 // request. Batch work of this instance does not count: it makes room.
 func (p *pool) expectedWait(s *server) time.Duration {
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -42,6 +42,7 @@
 	Loads    []balancer.ServerLoad `cbor:"loads"`
 	Usages   []apportioner.Usage   `cbor:"usages"`
 	Versions map[string]int64      `cbor:"versions"` // Of the copies of the store, by name.
+	Jobs     []string              `cbor:"jobs"`     // IDs of jobs that the instance owns since lately.
 	// Connected says that the copies come from the store itself.
 	Connected bool `cbor:"connected"`
 }
@@ -65,6 +66,12 @@
 	Connected() bool
 }
 
+// Owners knows the owners of jobs.
+type Owners interface {
+	NewJobs() []string
+	LearnOwner(owner string, jobs []string)
+}
+
 // A Config holds what a gossiper needs.
 type Config struct {
 	Self     string // Instance ID.
@@ -73,6 +80,7 @@
 	Quotas   *apportioner.Apportioner
 	Sources  map[string]Source // By name.
 	Heard    func(id string)   // Called when a peer is heard.
+	Owners   Owners
 	Clock    storer.Clock
 	Logger   logrus.FieldLogger
 }
@@ -182,7 +190,7 @@
 }
 
 func (g *Gossiper) report() Report {
-	r := Report{Loads: g.cfg.Balancer.LocalLoads(), Usages: g.cfg.Quotas.Report(), Versions: map[string]int64{}}
+	r := Report{Loads: g.cfg.Balancer.LocalLoads(), Usages: g.cfg.Quotas.Report(), Versions: map[string]int64{}, Jobs: g.cfg.Owners.NewJobs()}
 	r.Connected = true
 	for name, source := range g.cfg.Sources {
 		r.Versions[name] = source.Version()
@@ -233,6 +241,7 @@
 	}
 	g.cfg.Balancer.SetPeerLoads(id, r.Loads)
 	g.cfg.Quotas.Learn(id, r.Usages)
+	g.cfg.Owners.LearnOwner(id, r.Jobs)
 	g.fetchNewer(id, r.Versions)
 }
 
--- a/internal/jobkeeper/jobkeeper_test.go
+++ b/internal/jobkeeper/jobkeeper_test.go
@@ -233,6 +233,7 @@
 	_, err := r.store.Commit(t.Context(), storer.Transaction{Remove: []string{"member/" + id}})
 	assert.NilError(t, err)
 	for _, k := range others {
+		k.SetMembers(enroller.Membership{Peers: []enroller.Member{r.members[id]}})
 		k.SetMembers(enroller.Membership{})
 	}
 }
--- a/internal/jobkeeper/keeper.go
+++ b/internal/jobkeeper/keeper.go
@@ -85,6 +85,8 @@
 	enders  map[string]bool // Jobs that were ended, by the keys in the store.
 	// creating holds the jobs whose acceptance is being written.
 	creating map[string]bool
+	// adopted tells since when jobs are this instance's, for those that came lately.
+	adopted map[string]time.Time
 	// verified is the term in which the records of all owned jobs were seen.
 	verified int
 	leaving  bool
@@ -104,6 +106,7 @@
 		enders:  map[string]bool{},
 
 		creating: map[string]bool{},
+		adopted:  map[string]time.Time{},
 	}
 	for i := range k.shards {
 		k.shards[i].jobs = map[string]*job{}
@@ -146,13 +149,20 @@
 
 // SetMembers says which instances may own jobs.
 func (k *Keeper) SetMembers(m enroller.Membership) {
-	k.mu.Lock()
-	k.members = make(map[string]enroller.Member, len(m.Peers))
+	members := make(map[string]enroller.Member, len(m.Peers))
 	for _, peer := range m.Peers {
-		k.members[peer.ID] = peer
+		members[peer.ID] = peer
 	}
+	k.mu.Lock()
+	before := k.members
+	k.members = members
 	k.mu.Unlock()
-	k.askSweep()
+	for id, former := range before {
+		if now, ok := members[id]; !ok || now.Leaving && !former.Leaving {
+			k.askSweep()
+			return
+		}
+	}
 }
 
 func (k *Keeper) askSweep() {
@@ -257,6 +267,9 @@
 	s.mu.Lock()
 	s.jobs[j.manifest.Job] = j
 	s.mu.Unlock()
+	k.mu.Lock()
+	k.adopted[j.manifest.Job] = k.now()
+	k.mu.Unlock()
 	if k.hasEnded(j.manifest.Job) {
 		k.endLocal(j)
 		return
--- a/internal/jobkeeper/query.go
+++ b/internal/jobkeeper/query.go
@@ -17,6 +17,9 @@
 	linkMargin = 400 * time.Millisecond
 	// recordLifetime is how long a record that was read is used again.
 	recordLifetime = 700 * time.Millisecond
+	// announceTime is how long a new job is named in reports to peers. It covers
+	// several reports, since some are lost.
+	announceTime = 1500 * time.Millisecond
 	// maxCopies bounds the jobs of other instances that are remembered.
 	maxCopies = 4096
 )
@@ -60,6 +63,7 @@
 	mu      sync.Mutex
 	record  Record
 	readAt  time.Time // Of the record.
+	owner   string    // Instance to ask; it may have changed.
 	results []Result
 	read    int // Segments in results.
 }
@@ -83,6 +87,35 @@
 	return known
 }
 
+// NewJobs are the jobs that this instance owns since lately, for its peers.
+func (k *Keeper) NewJobs() []string {
+	now := k.now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var ids []string
+	for id, at := range k.adopted {
+		if now.Sub(at) > announceTime {
+			delete(k.adopted, id)
+			continue
+		}
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// LearnOwner notes the owner of jobs, so that it can be asked without a call to
+// the store.
+func (k *Keeper) LearnOwner(owner string, jobs []string) {
+	for _, id := range jobs {
+		c := k.copies.of(id)
+		c.mu.Lock()
+		if !c.record.Done {
+			c.owner = owner
+		}
+		c.mu.Unlock()
+	}
+}
+
 func (c *copies) forget(id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -182,7 +215,7 @@
 		k.copies.forget(id)
 		return nil, k.storeRefusal(id, err)
 	}
-	c.record, c.readAt = record, now
+	c.record, c.readAt, c.owner = record, now, record.Owner
 	return c, nil
 }
 
@@ -202,7 +235,7 @@
 func (k *Keeper) askOwner(ctx context.Context, q jobRequest) (jobResponse, *refuser.Refusal) {
 	c := k.copies.of(q.Job)
 	c.mu.Lock()
-	owner, done, known := c.record.Owner, c.record.Done, !c.readAt.IsZero()
+	owner, done, known := c.owner, c.record.Done, c.owner != ""
 	c.mu.Unlock()
 	if done {
 		return jobResponse{}, nil
@@ -213,7 +246,7 @@
 			return jobResponse{}, refusal
 		}
 		read.mu.Lock()
-		owner = read.record.Owner
+		owner = read.owner
 		read.mu.Unlock()
 	}
 	if owner == k.cfg.Self.ID {
@@ -225,11 +258,14 @@
 	defer cancel()
 	if err := k.cfg.Links.Call(callCtx, owner, linker.KindJob, q, &response); err != nil {
 		k.log(q.Job).WithError(err).WithField("owner", owner).Info("owner of the job cannot be asked")
+		c.mu.Lock()
+		c.owner = ""
+		c.mu.Unlock()
 		return jobResponse{}, nil
 	}
 	if !response.Owned {
 		c.mu.Lock()
-		c.readAt = time.Time{} // Another instance may own it by now.
+		c.owner = "" // Another instance may own it by now.
 		c.mu.Unlock()
 	}
 	return response, nil
--- a/internal/jobkeeper/sweep.go
+++ b/internal/jobkeeper/sweep.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
@@ -17,9 +18,11 @@
 const (
 	// sweepPeriod is the time between looks at the records of all jobs without
 	// cause.
-	sweepPeriod = 20 * time.Second
+	sweepPeriod = time.Minute
 	// sweepDelay gathers the causes of a look: members come and go in groups.
 	sweepDelay = 400 * time.Millisecond
+	// enrollWait is the time until an instance that is not enrolled looks again.
+	enrollWait = 250 * time.Millisecond
 	// maxRemovals bounds the keys that one transaction removes; the store takes
 	// 32 entries.
 	maxRemovals = 28
@@ -27,11 +30,20 @@
 	sweepRetry = time.Second
 )
 
+// errNotEnrolled means that this instance may not own jobs now.
+var errNotEnrolled = merry.Sentinel("not enrolled")
+
 // sweepLoop looks for jobs without owner when members change, and now and then.
 func (k *Keeper) sweepLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		period := sweepPeriod
-		if err := k.sweep(ctx); err != nil && ctx.Err() == nil {
+		err := k.sweep(ctx)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case errors.Is(err, errNotEnrolled):
+			period = enrollWait
+		case err != nil:
 			k.cfg.Logger.WithError(err).Warn("look at the records of jobs failed")
 			period = sweepRetry
 		}
@@ -61,8 +73,11 @@
 // whose results are not kept any longer.
 func (k *Keeper) sweep(ctx context.Context) (failed error) {
 	term, held := k.cfg.Terms.Term()
-	if k.isLeaving() || !held {
+	switch {
+	case k.isLeaving():
 		return nil
+	case !held:
+		return errNotEnrolled
 	}
 	listing, err := k.cfg.Store.List(ctx, k.key("run/"))
 	if err != nil {
