feat: servers that fail are avoided, and two instances of a domain follow the store

Their rate of failures now counts, and a server that gives no sign though it had a free place is avoided before the request ends.

--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -142,12 +142,34 @@
 		r.probe()
 		assert.Equal(t, r.acquire(t, Online).Backend.ID, "c")
 	})
+	t.Run("a server that fails part of its requests is avoided", func(t *testing.T) {
+		r := newRig("a", "b")
+		for range 2 {
+			r.acquire(t, Online, "b").Release(OutcomeFailed)
+		}
+		for range 3 {
+			assert.Equal(t, r.acquire(t, Online).Backend.ID, "b")
+		}
+	})
+	t.Run("a server that loses one answer in twenty is not", func(t *testing.T) {
+		r := newRig("a")
+		for i := range 100 {
+			outcome := OutcomeDone
+			if i%20 == 0 {
+				outcome = OutcomeLost
+			}
+			r.acquire(t, Online).Release(outcome)
+			r.b.mu.RLock()
+			assert.Assert(t, !r.b.pools[service].servers["a"].health.suspected(r.clock.Now()))
+			r.b.mu.RUnlock()
+		}
+	})
 	t.Run("a silent server is tried again after a while", func(t *testing.T) {
 		r := newRig("a", "b")
 		r.acquire(t, Online, "b").Release(OutcomeSilent)
 		assert.Equal(t, r.acquire(t, Online).Backend.ID, "b")
 		r.clock.Advance(maxSuspicion)
-		assert.Equal(t, r.acquire(t, Online).Backend.ID, "a")
+		assert.Equal(t, r.acquire(t, Online, "b").Backend.ID, "a")
 	})
 	t.Run("a restart under the same ID is a new server", func(t *testing.T) {
 		r := newRig("a")
--- a/internal/balancer/health.go
+++ b/internal/balancer/health.go
@@ -6,23 +6,31 @@
 	// minSuspicion is how long a server is avoided after its first failure.
 	minSuspicion = 400 * time.Millisecond
 	// maxSuspicion bounds how long a server that is back stays unused.
-	maxSuspicion = 3 * time.Second
+	maxSuspicion = 5 * time.Second
 	// fullPause is how long a server that refused a request as full is avoided;
 	// a slot becomes free within about this time.
 	fullPause = 60 * time.Millisecond
 	// probePause is the time between two probes of an unreachable server. A probe
 	// is a connection, which costs little; a request that waits for one is late.
 	probePause = 300 * time.Millisecond
-	// lostBeforeSuspicion is the number of lost answers in a row after which
-	// the server itself is suspected and not the connection.
-	lostBeforeSuspicion = 3
+	// rateWeight is the weight of the newest outcome in the rate of failures.
+	rateWeight = 0.2
+	// badRate is the rate of failures from which on a server is avoided. Two
+	// failures in a row reach it; one failure in twenty, as lost answers bring
+	// to sound servers, does not.
+	badRate = 0.35
+	// goodRate is the rate below which earlier failures are forgotten. It takes
+	// some ten answers.
+	goodRate = 0.05
+	// maxDoublings bounds the doubling of the time for which a server is avoided.
+	maxDoublings = 6
 )
 
 // A health is what the outcomes of requests say about a server.
 type health struct {
 	suspectedUntil time.Time
-	failures       int // In a row.
-	lost           int // In a row.
+	failures       int     // Since the server was sound last.
+	rate           float64 // Of failures among the last outcomes, 0 to 1.
 	misdirected    bool
 	unreachable    bool // No connection could be made; a probe finds out when one can.
 	probing        bool
@@ -44,17 +52,25 @@
 func (h *health) learn(outcome Outcome, now time.Time) {
 	switch outcome {
 	case OutcomeDone:
-		*h = health{misdirected: h.misdirected}
+		h.rate -= rateWeight * h.rate
+		h.unreachable = false
+		if h.rate < badRate {
+			h.suspectedUntil = time.Time{}
+		}
+		if h.rate < goodRate {
+			h.failures = 0
+		}
 	case OutcomeFull:
-		h.suspectedUntil = now.Add(fullPause)
+		h.suspectedUntil = later(h.suspectedUntil, now.Add(fullPause))
 	case OutcomeMisdirected:
 		h.misdirected = true
-	case OutcomeLost:
-		h.lost++
-		if h.lost >= lostBeforeSuspicion {
+	case OutcomeFailed, OutcomeLost:
+		h.rate += rateWeight * (1 - h.rate)
+		if h.rate >= badRate {
 			h.suspect(now)
 		}
 	case OutcomeSilent:
+		h.rate += rateWeight * (1 - h.rate)
 		h.suspect(now)
 	case OutcomeUnreachable:
 		h.unreachable = true
@@ -63,9 +79,16 @@
 }
 
 func (h *health) suspect(now time.Time) {
-	pause := min(minSuspicion<<min(h.failures, 4), maxSuspicion)
+	pause := min(minSuspicion<<min(h.failures, maxDoublings), maxSuspicion)
 	h.failures++
-	h.suspectedUntil = now.Add(pause)
+	h.suspectedUntil = later(h.suspectedUntil, now.Add(pause))
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // probed learns from a probe.
--- a/internal/balancer/placement.go
+++ b/internal/balancer/placement.go
@@ -14,6 +14,7 @@
 // The outcomes of a placement.
 const (
 	OutcomeDone        Outcome = "done"        // It answered, or the caller took the work back.
+	OutcomeFailed      Outcome = "failed"      // It answered that it failed.
 	OutcomeFull        Outcome = "full"        // It refused the request without running it.
 	OutcomeLost        Outcome = "lost"        // The connection ended before the answer did.
 	OutcomeMisdirected Outcome = "misdirected" // Another server has the address now.
@@ -49,6 +50,16 @@
 	p.displaceO.Do(func() { close(p.displaced) })
 }
 
+// Silent reports that the server has given no sign though it had a place for the
+// work. The work stays on it.
+func (p *Placement) Silent() {
+	p.pool.mu.Lock()
+	defer p.pool.mu.Unlock()
+	if p.Load < p.Backend.Slots {
+		p.server.health.learn(OutcomeSilent, p.cfg.Clock.Now())
+	}
+}
+
 // Release takes the work off the server. Only the first call counts.
 func (p *Placement) Release(outcome Outcome) {
 	p.releaseO.Do(func() { p.pool.release(p, outcome) })
--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -218,9 +218,6 @@
 	e.mu.Lock()
 	present := map[string]bool{}
 	for _, entry := range c.Entries {
-		if !strings.HasPrefix(entry.Key, e.cfg.Prefix) {
-			continue
-		}
 		var m Member
 		if err := cbor.Unmarshal(entry.Value, &m); err != nil || m.ID != strings.TrimPrefix(entry.Key, e.cfg.Prefix) {
 			e.cfg.Logger.WithField("key", entry.Key).Warn("entry of an instance cannot be read")
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -22,7 +22,10 @@
 	// minRetry and maxRetry bound the pause after a failed call. The longest
 	// leaves three tries within the two seconds in which servers re-register.
 	minRetry = 100 * time.Millisecond
-	maxRetry = 700 * time.Millisecond
+	// delegatePause is the time between two looks whether a peer still follows the
+	// store for this instance.
+	delegatePause = 300 * time.Millisecond
+	maxRetry      = 700 * time.Millisecond
 )
 
 // A Store is the part of the platform's store that a follower needs.
@@ -52,6 +55,9 @@
 	// Gather is the pause after changes, so that those that come close together
 	// cost one call.
 	Gather time.Duration
+	// Delegates reports whether the copy is taken from a peer that follows the
+	// store, which saves the calls of a watch of its own. Nil means never.
+	Delegates func() bool
 	// Changed is called after each change of the copy, never concurrently.
 	Changed func(c Copy)
 }
@@ -66,6 +72,7 @@
 	connected  bool
 	returnedAt time.Time            // When the store came back last; zero before the first loss.
 	held       map[string]time.Time // Keys that are removed at a time.
+	delegating bool                 // The copy comes from a peer by choice.
 
 	notify sync.Mutex // Held during Changed, so that calls come in order.
 }
@@ -116,6 +123,10 @@
 
 // step lists the keys, or waits for changes where a copy is there.
 func (f *Follower) step(ctx context.Context) error {
+	if f.delegate() {
+		wait(ctx, f.cfg.Clock, delegatePause)
+		return nil
+	}
 	after, listed := f.position()
 	if !listed {
 		listing, err := f.cfg.Store.List(ctx, f.cfg.Prefix)
@@ -143,6 +154,16 @@
 	return nil
 }
 
+// delegate decides whether the next changes come from a peer. The first copy is
+// listed from the store.
+func (f *Follower) delegate() bool {
+	delegates := f.cfg.Delegates != nil && f.cfg.Delegates()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.delegating = delegates && f.version > 0
+	return f.delegating
+}
+
 // position is the version after which to watch, and whether the copy can be
 // continued by a watch.
 func (f *Follower) position() (version int64, listed bool) {
@@ -276,14 +297,14 @@
 func (f *Follower) Connected() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.connected
+	return f.connected && !f.delegating
 }
 
-// Offer takes over the copy of another instance if the store cannot be reached
-// and the copy is newer. It reports whether it did.
+// Offer takes over the copy of another instance if it is newer and the own one
+// does not come from the store. It reports whether it did.
 func (f *Follower) Offer(c Copy) bool {
 	f.mu.Lock()
-	if f.connected || c.Version <= f.version {
+	if f.connected && !f.delegating || c.Version <= f.version {
 		f.mu.Unlock()
 		return false
 	}
@@ -294,7 +315,7 @@
 	}
 	f.held = map[string]time.Time{}
 	f.mu.Unlock()
-	f.cfg.Logger.WithFields(logrus.Fields{"follows": f.cfg.Name, "version": c.Version, "keys": len(c.Entries)}).Info("copy of another instance taken over")
+	f.cfg.Logger.WithFields(logrus.Fields{"follows": f.cfg.Name, "version": c.Version, "keys": len(c.Entries)}).Info("copy of a peer taken over")
 	f.changed()
 	return true
 }
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,6 +19,8 @@
 type rig struct {
 	store *storeemulator.Store
 	f     *Follower
+
+	delegates atomic.Bool
 }
 
 // start follows "k/" with a real clock.
@@ -28,7 +31,7 @@
 	logger.SetOutput(io.Discard)
 	r := &rig{store: storeemulator.New(clock)}
 	r.put(t, keys...)
-	r.f = New(Config{Name: "test", Prefix: "k/", Store: r.store, Clock: clock, Logger: logger, HoldRemovals: hold, Changed: func(Copy) {}})
+	r.f = New(Config{Name: "test", Prefix: "k/", Store: r.store, Clock: clock, Logger: logger, HoldRemovals: hold, Delegates: r.delegates.Load, Changed: func(Copy) {}})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := r.f.Start(ctx)
 	t.Cleanup(func() {
@@ -143,6 +146,22 @@
 		awaitKeys(t, r.f, 1)
 		assert.Assert(t, !r.f.Offer(offered))
 	})
+	t.Run("taken from a peer that follows the store for this instance", func(t *testing.T) {
+		r := start(t, 0, "k/a")
+		awaitKeys(t, r.f, 1)
+		r.delegates.Store(true)
+		r.put(t, "k/b") // Ends the watch under way.
+		awaitKeys(t, r.f, 2)
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if r.f.Connected() {
+				return poll.Continue("the store is still followed")
+			}
+			return poll.Success()
+		})
+		calls := r.store.Calls("watch")
+		assert.Assert(t, r.f.Offer(offered))
+		assert.Equal(t, r.store.Calls("watch"), calls)
+	})
 	t.Run("taken where the store is away", func(t *testing.T) {
 		r := start(t, 0)
 		r.setDown(true)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -7,6 +7,7 @@
 	"context"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
 	"github.com/quetzalhitch/quetzalhitch/internal/balancer"
@@ -99,9 +100,10 @@
 	Suspicion(digest string) retrier.Suspicion
 }
 
-// A Clock tells the time.
+// A Clock tells the time and starts timers.
 type Clock interface {
 	Now() time.Time
+	AfterFunc(d time.Duration, f func()) clockwork.Timer
 }
 
 // A Config holds what a forwarder needs.
--- a/internal/forwarder/run.go
+++ b/internal/forwarder/run.go
@@ -103,7 +103,7 @@
 		case VerdictFailed:
 			r.attempts++
 			r.last, r.cause = answer, "server-failed"
-			r.exclude(balancer.OutcomeDone)
+			r.exclude(balancer.OutcomeFailed)
 		case VerdictMisdirected:
 			r.refused++
 			r.cause = "misdirected"
@@ -179,6 +179,9 @@
 }
 
 func (r *run) attempt() (*Answer, error) {
+	placement := r.placement
+	silence := r.f.cfg.Clock.AfterFunc(max(goalsOfSilence*r.q.Route.Goal, minSilence), placement.Silent)
+	defer silence.Stop()
 	return r.f.cfg.Engines.Send(r.ctx, Attempt{
 		Request:   r.q,
 		Backend:   r.placement.Backend,
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -33,6 +33,9 @@
 	exchangeTimeout = 400 * time.Millisecond
 	// copyTimeout bounds the transfer of a copy.
 	copyTimeout = 2 * time.Second
+	// followsWithin is the silence after which a peer does not follow the store
+	// for others any more. It is three exchanges.
+	followsWithin = time.Second
 	// loadLifetime is how long a peer's load counts without a new report.
 	loadLifetime = 2 * time.Second
 )
@@ -260,6 +263,18 @@
 	return ids
 }
 
+// Follows reports whether one of the peers reaches the store and was heard
+// lately.
+func (g *Gossiper) Follows(ids []string) bool {
+	now := g.cfg.Clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.ContainsFunc(ids, func(id string) bool {
+		p := g.peers[id]
+		return p != nil && p.connected && now.Sub(p.heardAt) < followsWithin
+	})
+}
+
 // fetchNewer asks a peer for the copies that are newer than those here, where
 // the store itself cannot be reached.
 func (g *Gossiper) fetchNewer(id string, versions map[string]int64) {
--- a/internal/jobkeeper/end.go
+++ b/internal/jobkeeper/end.go
@@ -3,15 +3,21 @@
 import (
 	"context"
 	"errors"
-	"strings"
+	"time"
 
-	"github.com/quetzalhitch/quetzalhitch/internal/follower"
 	"github.com/quetzalhitch/quetzalhitch/internal/storer"
 	"github.com/quetzalhitch/quetzalhitch/pkg/refuser"
 )
 
+const (
+	// tellPause is the time between two tries to tell the owner of an end.
+	tellPause = 400 * time.Millisecond
+	// tellTries bounds them. Later, the owner meets the end with its next write.
+	tellTries = 20
+)
+
 // End stops a job. What is listed stays readable. The end is acknowledged once
-// it is in the store, which every instance follows.
+// it is in the store; the owner is told, and later owners read it.
 func (k *Keeper) End(ctx context.Context, workspace, id string) *refuser.Refusal {
 	if refusal := k.checkWorkspace(ctx, workspace, id); refusal != nil {
 		return refusal
@@ -27,11 +33,32 @@
 	k.log(id).Info("job ended by its caller")
 	k.noteEnd(id)
 	if _, ok := k.owned(id); !ok {
-		_, _ = k.askOwner(ctx, jobRequest{Operation: operationEnd, Job: id, Workspace: workspace}) // The owner hears of it from the store too.
+		k.running.Go(func() { k.tellOwner(id, workspace) })
 	}
 	return nil
 }
 
+// tellOwner tells the owner of a job that it was ended.
+func (k *Keeper) tellOwner(id, workspace string) {
+	ctx := k.baseContext()
+	for range tellTries {
+		response, refusal := k.askOwner(ctx, jobRequest{Operation: operationEnd, Job: id, Workspace: workspace})
+		if _, owned := k.owned(id); owned || refusal == nil && response.Owned || k.isDone(id) || ctx.Err() != nil {
+			return
+		}
+		k.sleep(tellPause)
+	}
+	k.log(id).Warn("owner not told of the end of its job")
+}
+
+// isDone reports whether every item of a job is listed, as far as is known.
+func (k *Keeper) isDone(id string) bool {
+	c := k.copies.of(id)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.record.Done
+}
+
 func (k *Keeper) checkWorkspace(ctx context.Context, workspace, id string) *refuser.Refusal {
 	owner := ""
 	if j, ok := k.owned(id); ok {
@@ -51,15 +78,6 @@
 	return nil
 }
 
-// FollowEnds takes over the keys that end jobs.
-func (k *Keeper) FollowEnds(c follower.Copy) {
-	for _, e := range c.Entries {
-		if id, ok := strings.CutPrefix(e.Key, k.cfg.EndPrefix); ok {
-			k.noteEnd(id)
-		}
-	}
-}
-
 func (k *Keeper) hasEnded(id string) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/jobkeeper/jobkeeper_test.go
+++ b/internal/jobkeeper/jobkeeper_test.go
@@ -17,7 +17,6 @@
 	"github.com/quetzalhitch/quetzalhitch/internal/balancer"
 	"github.com/quetzalhitch/quetzalhitch/internal/emulator/storeemulator"
 	"github.com/quetzalhitch/quetzalhitch/internal/enroller"
-	"github.com/quetzalhitch/quetzalhitch/internal/follower"
 	"github.com/quetzalhitch/quetzalhitch/internal/forwarder"
 	"github.com/quetzalhitch/quetzalhitch/internal/linker"
 	"github.com/quetzalhitch/quetzalhitch/internal/sender"
@@ -486,12 +485,27 @@
 		assert.Assert(t, k2.End(t.Context(), workspace, jobID) == nil)
 		assert.Assert(t, k2.End(t.Context(), workspace, jobID) == nil)
 	})
-	t.Run("the owner hears of it from the store", func(t *testing.T) {
-		listing, err := r.store.List(t.Context(), "end/")
-		assert.NilError(t, err)
-		k1.FollowEnds(follower.Copy{Entries: listing.Entries})
+	t.Run("the owner is told", func(t *testing.T) {
 		j, ok := k1.owned(jobID)
 		assert.Assert(t, ok)
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			j.mu.Lock()
+			defer j.mu.Unlock()
+			if !j.ended {
+				return poll.Continue("the owner does not know")
+			}
+			return poll.Success()
+		})
+	})
+	t.Run("a later owner reads it", func(t *testing.T) {
+		k3 := r.keeper(t, "k3")
+		r.terms["k1"].set(1, false)
+		r.vanish(t, "k1")
+		record, version, err := k3.readRecord(t.Context(), jobID)
+		assert.NilError(t, err)
+		assert.NilError(t, k3.takeOver(t.Context(), jobID, record, version))
+		j, ok := k3.owned(jobID)
+		assert.Assert(t, ok)
 		j.mu.Lock()
 		defer j.mu.Unlock()
 		assert.Assert(t, j.ended)
--- a/internal/jobkeeper/keeper.go
+++ b/internal/jobkeeper/keeper.go
@@ -55,7 +55,7 @@
 type Config struct {
 	Self      enroller.Member
 	Prefix    string // Of the keys of jobs.
-	EndPrefix string // Of the keys that end jobs, which every instance follows.
+	EndPrefix string // Of the keys that end jobs.
 	// MembersPrefix is that of the keys of instances, which are bound to their
 	// leases. A job is taken over only while its owner's key is as it was seen.
 	MembersPrefix string
--- a/internal/jobkeeper/ledger.go
+++ b/internal/jobkeeper/ledger.go
@@ -24,9 +24,9 @@
 	// submitRetryAfter sends a caller to another instance, which may reach the
 	// store.
 	submitRetryAfter = 50 * time.Millisecond
-	// flushDelay gathers the results of a job into one write. It is well below
-	// the time for which callers wait for a result.
-	flushDelay = 900 * time.Millisecond
+	// flushDelay gathers the results of a job into one write. Items of a job end
+	// within a few seconds of each other, and jobs are due after many.
+	flushDelay = 2 * time.Second
 	// dueMargin ends the gathering before the job is due.
 	dueMargin = 1500 * time.Millisecond
 	// flushRetry is the pause after a failed write.
@@ -147,6 +147,19 @@
 	return m, cbor.Unmarshal(data, &m)
 }
 
+// readEnd notes the end of a job if its caller ended it.
+func (k *Keeper) readEnd(ctx context.Context, id string) error {
+	_, err := k.cfg.Store.Get(ctx, k.cfg.EndPrefix+id)
+	switch {
+	case err == nil:
+		k.noteEnd(id)
+		return nil
+	case errors.Is(err, storer.ErrNotFound):
+		return nil
+	}
+	return err
+}
+
 // readProgress reads what the former owner saved; nothing where it saved none.
 func (k *Keeper) readProgress(ctx context.Context, id string) (saved []Progress, err error) {
 	entry, err := k.cfg.Store.Get(ctx, k.key(progressKey(id)))
@@ -166,6 +179,9 @@
 	if err != nil {
 		return err
 	}
+	if err := k.readEnd(ctx, id); err != nil {
+		return err
+	}
 	saved, err := k.readProgress(ctx, id)
 	if err != nil {
 		return err
--- a/internal/jobkeeper/saver.go
+++ b/internal/jobkeeper/saver.go
@@ -11,7 +11,7 @@
 
 const (
 	// savePeriod is the time between two looks at the progress of jobs.
-	savePeriod = 2 * time.Second
+	savePeriod = 2500 * time.Millisecond
 	// saveEvents is the number of new events of a job that are worth a call to
 	// the store.
 	saveEvents = 250
--- a/internal/jobkeeper/work.go
+++ b/internal/jobkeeper/work.go
@@ -166,7 +166,7 @@
 	case forwarder.VerdictNotRun:
 		return outcome{cause: "server-full"}, balancer.OutcomeFull
 	case forwarder.VerdictFailed:
-		return k.afterFailure(w, route, answer), balancer.OutcomeDone
+		return k.afterFailure(w, route, answer), balancer.OutcomeDone // The item is at fault more often than the server.
 	}
 	if answer.Stream == nil {
 		return outcome{again: failurePause, cause: "no-stream"}, balancer.OutcomeDone
