--- a/internal/apportioner/apportioner_test.go
+++ b/internal/apportioner/apportioner_test.go
@@ -90,14 +90,16 @@
 
 // allowance is what the contract admits in a window: rate and burst, with the
 // tenth and the twenty requests that reports cannot prevent.
-func allowance(rate, burst float64, window time.Duration) float64 {
+func allowance(rate, burst float64) float64 {
 	return (rate*window.Seconds()+burst)*1.1 + 20
 }
 
+// window is the time over which contracts are judged.
+const window = 5 * time.Second
+
 // TestBound guards against a workspace that gets more than its rate and burst
 // over all instances.
 func TestBound(t *testing.T) {
-	const window = 5 * time.Second
 	loads := map[string][]float64{
 		"even":       {100, 100, 100, 100, 100},
 		"one":        {500, 0, 0, 0, 0},
@@ -107,14 +109,14 @@
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(5, 60, 60)
 			f.run(2*time.Second, []float64{1, 1, 1, 1, 1})
-			assertBetween(t, f.run(window, load), 60*5*0.85, allowance(60, 60, window))
+			assertBetween(t, f.run(window, load), 60*5*0.85, allowance(60, 60))
 		})
 	}
 	t.Run("a cut instance and the others together", func(t *testing.T) {
 		f := newFleet(5, 60, 60)
 		f.run(2*time.Second, []float64{1, 1, 1, 1, 1})
 		f.cut[0] = true
-		assertBetween(t, f.run(window, []float64{100, 100, 100, 100, 100}), 60*5*0.8, allowance(60, 60, window))
+		assertBetween(t, f.run(window, []float64{100, 100, 100, 100, 100}), 60*5*0.8, allowance(60, 60))
 	})
 	t.Run("all cut", func(t *testing.T) {
 		f := newFleet(5, 60, 60)
@@ -122,7 +124,7 @@
 		for i := range f.instances {
 			f.cut[i] = true
 		}
-		assertBetween(t, f.run(window, []float64{100, 100, 100, 100, 100}), 60*5*0.8, allowance(60, 60, window))
+		assertBetween(t, f.run(window, []float64{100, 100, 100, 100, 100}), 60*5*0.8, allowance(60, 60))
 	})
 }
 
@@ -144,11 +146,14 @@
 	}
 }
 
-// spread gives each of n instances an equal part of a demand.
-func spread(n int, perSecond float64) []float64 {
-	load := make([]float64, n)
+// many is the number of instances of a large fleet.
+const many = 27
+
+// spread gives each of many instances an equal part of a demand.
+func spread(perSecond float64) []float64 {
+	load := make([]float64, many)
 	for i := range load {
-		load[i] = perSecond / float64(n)
+		load[i] = perSecond / many
 	}
 	return load
 }
@@ -156,38 +161,37 @@
 // TestMany guards against contracts that are too small to be divided among many
 // instances, and against many instances that admit too much together.
 func TestMany(t *testing.T) {
-	const n, window = 27, 5 * time.Second
 	t.Run("a small workspace inside its rate", func(t *testing.T) {
-		f := newFleet(n, 6, 6)
-		f.run(2*time.Second, spread(n, 1))
-		admitted, offered := f.offer(20*time.Second, spread(n, 4))
+		f := newFleet(many, 6, 6)
+		f.run(2*time.Second, spread(1))
+		admitted, offered := f.offer(20*time.Second, spread(4))
 		assertBetween(t, admitted, 0.97*float64(offered), float64(offered))
 	})
 	t.Run("a small workspace beyond its rate", func(t *testing.T) {
-		f := newFleet(n, 6, 6)
-		f.run(2*time.Second, spread(n, 1))
-		assertBetween(t, f.run(window, spread(n, 60)), 0.7*6*5, allowance(6, 6, window))
+		f := newFleet(many, 6, 6)
+		f.run(2*time.Second, spread(1))
+		assertBetween(t, f.run(window, spread(60)), 0.7*6*5, allowance(6, 6))
 	})
 	t.Run("a large workspace beyond its rate", func(t *testing.T) {
-		f := newFleet(n, 60, 60)
-		f.run(2*time.Second, spread(n, 10))
-		assertBetween(t, f.run(window, spread(n, 600)), 0.8*60*5, allowance(60, 60, window))
+		f := newFleet(many, 60, 60)
+		f.run(2*time.Second, spread(10))
+		assertBetween(t, f.run(window, spread(600)), 0.8*60*5, allowance(60, 60))
 	})
 	t.Run("all at one instance", func(t *testing.T) {
-		f := newFleet(n, 60, 60)
-		load := make([]float64, n)
+		f := newFleet(many, 60, 60)
+		load := make([]float64, many)
 		load[3] = 50
 		f.run(2*time.Second, load)
 		admitted, offered := f.offer(4*time.Second, load)
 		assertBetween(t, admitted, 0.99*float64(offered), float64(offered))
 	})
 	t.Run("all cut", func(t *testing.T) {
-		f := newFleet(n, 60, 60)
-		f.run(2*time.Second, spread(n, 20))
+		f := newFleet(many, 60, 60)
+		f.run(2*time.Second, spread(20))
 		for i := range f.instances {
 			f.cut[i] = true
 		}
-		assertBetween(t, f.run(window, spread(n, 600)), 0.5*60*5, allowance(60, 60, window))
+		assertBetween(t, f.run(window, spread(600)), 0.5*60*5, allowance(60, 60))
 	})
 }
 
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -130,8 +130,10 @@
 	t.Run("a failure domain that is cut off is noticed after two of its servers", func(t *testing.T) {
 		r := newRig("a", "b", "c", "d")
 		r.b.Install([]Backend{
-			{ID: "a", Service: service, Slots: 4, FailureDomain: "d2"}, {ID: "b", Service: service, Slots: 4, FailureDomain: "d2"},
-			{ID: "c", Service: service, Slots: 4, FailureDomain: "d2"}, {ID: "d", Service: service, Slots: 4, FailureDomain: "d3"},
+			{ID: "a", Service: service, Slots: 4, FailureDomain: "d2"},
+			{ID: "b", Service: service, Slots: 4, FailureDomain: "d2"},
+			{ID: "c", Service: service, Slots: 4, FailureDomain: "d2"},
+			{ID: "d", Service: service, Slots: 4, FailureDomain: "d3"},
 		})
 		r.acquire(t, Online, "b", "c", "d").Release(OutcomeUnreachable)
 		r.acquire(t, Online, "a", "c", "d").Release(OutcomeUnreachable)
--- a/internal/commander/resident.go
+++ b/internal/commander/resident.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"os"
 	"os/signal"
@@ -41,7 +42,7 @@
 	written := out.Start(logCtx)
 	defer func() {
 		endLog()
-		<-written
+		err = errors.Join(err, <-written)
 	}()
 	logger, err := reporter.NewLogger(reporter.LogConfig{}, out)
 	if err != nil {
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -36,7 +36,7 @@
 	ended := r.f.Start(ctx)
 	t.Cleanup(func() {
 		cancel()
-		<-ended
+		assert.NilError(t, <-ended)
 	})
 	return r
 }
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"testing"
 	"time"
@@ -158,7 +159,7 @@
 	for {
 		event, err := d.Next()
 		if err != nil {
-			assert.Equal(t, err == io.EOF, whole, "%v", err)
+			assert.Equal(t, errors.Is(err, io.EOF), whole, "%v", err)
 			break
 		}
 		got = append(got, event...)
--- a/internal/jobkeeper/end.go
+++ b/internal/jobkeeper/end.go
@@ -60,7 +60,7 @@
 }
 
 func (k *Keeper) checkWorkspace(ctx context.Context, workspace, id string) *refuser.Refusal {
-	owner := ""
+	var owner string
 	if j, ok := k.owned(id); ok {
 		owner = j.manifest.Workspace
 	} else {
--- a/internal/jobkeeper/jobkeeper_test.go
+++ b/internal/jobkeeper/jobkeeper_test.go
@@ -111,10 +111,10 @@
 	return &forwarder.Answer{Verdict: forwarder.VerdictAnswered, Status: 200, Stream: &itemStream{ctx: ctx, next: next, cut: cut, stall: stall}}, nil
 }
 
-func (e *engines) runsOf(item string) int {
+func (e *engines) runsOfFirst() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.runs[item]
+	return e.runs["i1"]
 }
 
 type itemStream struct {
@@ -212,7 +212,7 @@
 	ended := k.Start(ctx)
 	t.Cleanup(func() {
 		cancel()
-		<-ended
+		assert.NilError(t, <-ended)
 	})
 	return k
 }
@@ -226,9 +226,10 @@
 	r.members[m.ID] = m
 }
 
-// vanish removes the entry of an instance and tells another one.
-func (r *rig) vanish(t *testing.T, id string, others ...*Keeper) {
+// vanishFirst removes the entry of k1 and tells others.
+func (r *rig) vanishFirst(t *testing.T, others ...*Keeper) {
 	t.Helper()
+	const id = "k1"
 	_, err := r.store.Commit(t.Context(), storer.Transaction{Remove: []string{"member/" + id}})
 	assert.NilError(t, err)
 	for _, k := range others {
@@ -309,7 +310,7 @@
 		k := r.keeper(t, "k1")
 		submit(t, k, manifest("i1"))
 		assertResults(t, awaitResults(t, k, 1), StateDeadLettered, "")
-		assert.Equal(t, r.engines.runsOf("i1"), 1)
+		assert.Equal(t, r.engines.runsOfFirst(), 1)
 	})
 	t.Run("an item that fails at each run", func(t *testing.T) {
 		r := newRig()
@@ -317,7 +318,7 @@
 		k := r.keeper(t, "k1")
 		submit(t, k, manifest("i1"))
 		assertResults(t, awaitResults(t, k, 1), StateDeadLettered, "")
-		assert.Equal(t, r.engines.runsOf("i1"), 2)
+		assert.Equal(t, r.engines.runsOfFirst(), 2)
 	})
 }
 
@@ -354,7 +355,7 @@
 		submit(t, k1, manifest("i1"))
 		submit(t, k2, manifest("i1"))
 		awaitResults(t, k1, 1)
-		assert.Equal(t, r.engines.runsOf("i1"), 1)
+		assert.Equal(t, r.engines.runsOfFirst(), 1)
 	})
 	t.Run("the answer of the store is lost", func(t *testing.T) {
 		r := newRig()
@@ -369,7 +370,7 @@
 		})
 		submit(t, k, manifest("i1"))
 		assertResults(t, awaitResults(t, k, 1), StateCompleted, wholeText)
-		assert.Equal(t, r.engines.runsOf("i1"), 1)
+		assert.Equal(t, r.engines.runsOfFirst(), 1)
 	})
 	t.Run("the store is down", func(t *testing.T) {
 		r := newRig()
@@ -394,7 +395,7 @@
 		k1, k2 := r.keeper(t, "k1"), r.keeper(t, "k2")
 		submit(t, k1, manifest("i1"))
 		r.terms["k1"].set(1, false)
-		r.vanish(t, "k1", k2)
+		r.vanishFirst(t, k2)
 		poll.WaitOn(t, func(poll.LogT) poll.Result {
 			if _, ok := k2.owned(jobID); !ok {
 				return poll.Continue("the job is not taken over")
@@ -423,7 +424,7 @@
 		})
 		assert.NilError(t, k1.save(t.Context(), j, 1))
 		r.terms["k1"].set(1, false)
-		r.vanish(t, "k1", k2)
+		r.vanishFirst(t, k2)
 		poll.WaitOn(t, func(poll.LogT) poll.Result {
 			if _, ok := k2.owned(jobID); !ok {
 				return poll.Continue("the job is not taken over")
@@ -452,7 +453,7 @@
 		r.engines.hold = hold
 		k1, k2 := r.keeper(t, "k1"), r.keeper(t, "k2")
 		submit(t, k1, manifest("i1"))
-		r.vanish(t, "k1", k2)
+		r.vanishFirst(t, k2)
 		poll.WaitOn(t, func(poll.LogT) poll.Result {
 			if _, ok := k2.owned(jobID); !ok {
 				return poll.Continue("the job is not taken over")
@@ -500,7 +501,7 @@
 	t.Run("a later owner reads it", func(t *testing.T) {
 		k3 := r.keeper(t, "k3")
 		r.terms["k1"].set(1, false)
-		r.vanish(t, "k1")
+		r.vanishFirst(t)
 		record, version, err := k3.readRecord(t.Context(), jobID)
 		assert.NilError(t, err)
 		assert.NilError(t, k3.takeOver(t.Context(), jobID, record, version))
