--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -7,8 +7,10 @@
 	"context"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/metric"
 
 	"github.com/quetzalhitch/quetzalhitch/internal/balancer"
 	"github.com/quetzalhitch/quetzalhitch/internal/retrier"
@@ -114,17 +116,20 @@
 	Logger  logrus.FieldLogger
 
 	Suspects Suspects
-	Observe  func(Summary) // Counts requests; nil counts nothing.
+	Meter    metric.Meter
 }
 
 // A Forwarder serves online requests.
 type Forwarder struct {
-	cfg Config
+	cfg         Config
+	instruments *instruments
 }
 
 // New returns a forwarder.
-func New(cfg Config) *Forwarder {
-	return &Forwarder{cfg: cfg}
+func New(cfg Config) (f *Forwarder, err error) {
+	defer func() { err = merry.Prepend(err, "make a forwarder") }()
+	i, err := newInstruments(cfg.Meter)
+	return &Forwarder{cfg: cfg, instruments: i}, err
 }
 
 // A Delivery is an answer on its way to the caller, who closes it.
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/metric/noop"
 	"gotest.tools/v3/assert"
 
 	"github.com/quetzalhitch/quetzalhitch/internal/balancer"
@@ -82,9 +83,14 @@
 	}
 	placer.Install(backends)
 	engines := &scriptedEngines{script: script}
-	return &rig{engines: engines, clock: clock, f: New(Config{
+	f, err := New(Config{
 		Clock: clock, Engines: engines, Placer: placer, Logger: logger, Suspects: retrier.New(retrier.Config{Clock: clock}),
-	})}
+		Meter: noop.Meter{},
+	})
+	if err != nil {
+		panic(err)
+	}
+	return &rig{engines: engines, clock: clock, f: f}
 }
 
 func (r *rig) forward(route steerer.Route) (*Delivery, *refuser.Refusal) {
--- a/internal/jobkeeper/jobkeeper_test.go
+++ b/internal/jobkeeper/jobkeeper_test.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/metric/noop"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -203,10 +204,12 @@
 	}}})
 	self := enroller.Member{ID: id, Incarnation: id + "-1"}
 	r.terms[id] = &term{n: 1, held: true}
-	k := New(Config{
+	k, err := New(Config{
 		Self: self, Prefix: "batch/", EndPrefix: "end/", MembersPrefix: "member/", Store: r.store, Links: port{r.board, id},
 		Policies: policies, Terms: r.terms[id], Placer: placer, Engines: r.engines, Retention: time.Hour, Clock: clock, Logger: logger,
+		Meter: noop.Meter{},
 	})
+	assert.NilError(t, err)
 	r.enroll(t, self)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := k.Start(ctx)
--- a/internal/jobkeeper/keeper.go
+++ b/internal/jobkeeper/keeper.go
@@ -5,9 +5,11 @@
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
+	"go.opentelemetry.io/otel/metric"
 
 	"github.com/quetzalhitch/quetzalhitch/internal/balancer"
 	"github.com/quetzalhitch/quetzalhitch/internal/enroller"
@@ -68,6 +70,7 @@
 	Retention     time.Duration // How long the results of a finished job are kept.
 	Clock         storer.Clock
 	Logger        logrus.FieldLogger
+	Meter         metric.Meter
 }
 
 // A Keeper holds the jobs of this instance, and reads those of others.
@@ -76,6 +79,7 @@
 	shards  [shardCount]shard
 	pumps   pumps
 	copies  copies
+	items   metric.Int64Counter
 	sweeps  chan struct{} // Asks for a look at the records of all jobs.
 	running conc.WaitGroup
 
@@ -98,8 +102,9 @@
 }
 
 // New registers the handlers of a keeper. It is called before the links start.
-func New(cfg Config) *Keeper {
-	k := &Keeper{
+func New(cfg Config) (k *Keeper, err error) {
+	defer func() { err = merry.Prepend(err, "make a keeper of jobs") }()
+	k = &Keeper{
 		cfg:     cfg,
 		sweeps:  make(chan struct{}, 1),
 		members: map[string]enroller.Member{},
@@ -114,7 +119,8 @@
 	k.pumps.init(k)
 	k.copies.init()
 	cfg.Links.Handle(linker.KindJob, linker.HandlerFunc(k.handleJob))
-	return k
+	k.items, err = cfg.Meter.Int64Counter("jobkeeper.runs", metric.WithDescription("Runs of items by what ended them"))
+	return k, err
 }
 
 func (k *Keeper) shard(id string) *shard {
--- a/internal/jobkeeper/work.go
+++ b/internal/jobkeeper/work.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
 
 	"github.com/quetzalhitch/quetzalhitch/internal/balancer"
 	"github.com/quetzalhitch/quetzalhitch/internal/forwarder"
@@ -229,6 +231,7 @@
 		"job": w.job.manifest.Job, "item": w.item.ID, "events": w.events, "state": o.state, reporter.FieldReason: o.cause,
 		reporter.FieldBackendServer: placement.Backend.ID, "server-load": placement.Load, "failures": w.failures,
 	}).Info("item run ended")
+	k.items.Add(context.Background(), 1, metric.WithAttributes(attribute.String("state", string(o.state)), attribute.String("cause", o.cause)))
 	switch {
 	case o.state != "":
 		text := w.text.String()
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -10,6 +10,8 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
 
 	"github.com/quetzalhitch/quetzalhitch/internal/linker"
 	"github.com/quetzalhitch/quetzalhitch/internal/storer"
@@ -52,11 +54,13 @@
 	Links  Links
 	Clock  storer.Clock
 	Logger logrus.FieldLogger
+	Meter  metric.Meter
 }
 
 // A Relayer is the store, reached directly or through a peer.
 type Relayer struct {
 	cfg   Config
+	calls metric.Int64Counter
 	peers Peers // Nil until SetPeers.
 
 	mu       sync.Mutex
@@ -64,10 +68,12 @@
 }
 
 // New registers the handler of a relayer. It is called before the links start.
-func New(cfg Config) *Relayer {
-	r := &Relayer{cfg: cfg}
+func New(cfg Config) (r *Relayer, err error) {
+	defer func() { err = merry.Prepend(err, "make a relayer") }()
+	r = &Relayer{cfg: cfg}
+	r.calls, err = cfg.Meter.Int64Counter("relayer.calls", metric.WithDescription("Calls to the platform's store by operation, way and fault"))
 	cfg.Links.Handle(linker.KindStore, linker.HandlerFunc(r.handle))
-	return r
+	return r, err
 }
 
 // SetPeers says where peers are looked up. It is called before the first call.
@@ -234,6 +240,7 @@
 
 func (r *Relayer) through(ctx context.Context, peer string, q request) (answer response, err error) {
 	defer func() { err = merry.Prependf(err, "through %s", peer) }()
+	defer func() { r.count(q.Operation, "peer", err) }()
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	err = r.cfg.Links.Call(ctx, peer, linker.KindStore, q, &answer)
@@ -252,6 +259,7 @@
 
 // direct makes a call from here.
 func (r *Relayer) direct(ctx context.Context, q request) (answer response, err error) {
+	defer func() { r.count(q.Operation, "direct", err) }()
 	switch q.Operation {
 	case operationGet:
 		answer.Entry, err = r.cfg.Direct.Get(ctx, q.Key)
@@ -273,6 +281,11 @@
 	return answer, err
 }
 
+func (r *Relayer) count(o operation, way string, err error) {
+	r.calls.Add(context.Background(), 1, metric.WithAttributes(
+		attribute.String("operation", string(o)), attribute.String("way", way), attribute.String("fault", string(faultOf(err)))))
+}
+
 // handle makes a call for a peer. It is never passed on to a third instance.
 func (r *Relayer) handle(ctx context.Context, sender string, payload []byte) ([]byte, error) {
 	var q request
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/metric/noop"
 	"gotest.tools/v3/assert"
 
 	"github.com/quetzalhitch/quetzalhitch/internal/emulator/storeemulator"
@@ -84,12 +85,20 @@
 	p := &pair{clock: clockwork.NewFakeClock(), peers: []string{"b"}}
 	p.book = storeemulator.New(p.clock)
 	direct := &gate{Store: p.book, down: &p.aDown}
-	p.a = New(Config{Direct: direct, Links: fakeLinks{p, "a"}, Clock: p.clock, Logger: logger})
-	p.b = New(Config{Direct: &gate{Store: p.book, down: &p.bDown}, Links: fakeLinks{p, "b"}, Clock: p.clock, Logger: logger})
+	p.a = newRelayer(Config{Direct: direct, Links: fakeLinks{p, "a"}, Clock: p.clock, Logger: logger, Meter: noop.Meter{}})
+	p.b = newRelayer(Config{Direct: &gate{Store: p.book, down: &p.bDown}, Links: fakeLinks{p, "b"}, Clock: p.clock, Logger: logger, Meter: noop.Meter{}})
 	p.a.SetPeers(p)
 	return p, direct
 }
 
+func newRelayer(cfg Config) *Relayer {
+	r, err := New(cfg)
+	if err != nil {
+		panic(err)
+	}
+	return r
+}
+
 var write = storer.Transaction{Expect: []storer.Expectation{{Key: "k"}}, Writes: []storer.Write{{Key: "k", Value: []byte("v")}}}
 
 func assertCommit(t *testing.T, r *Relayer, want error) {
