fix: what peers admitted while they were not heard is not counted again

Ruled out: workspaces beyond their contracts. The first report after a silence only says where to count from. A server whose slots are taken costs more than the way to another one.

--- a/internal/apportioner/account.go
+++ b/internal/apportioner/account.go
@@ -26,6 +26,7 @@
 	admitted uint64
 	demand   float64
 	at       time.Time
+	joined   int // How often the peer had been heard after a silence.
 }
 
 func newAccount(c Contract, st standing, now time.Time) *account {
@@ -114,24 +115,27 @@
 	return time.Duration(missing / rate * float64(time.Second))
 }
 
-// learn counts what a peer admitted since its last report. The first report of a
-// peer tells what it admitted before it was heard.
-func (a *account) learn(peer string, u Usage, first bool, st standing, now time.Time) {
+// learn counts what a peer admitted since its last report. What it admitted
+// while it was not heard came from its own part, so that the first report after a
+// silence only says where to count from.
+func (a *account) learn(id string, u Usage, joined int, st standing, now time.Time) {
 	a.advance(st, now)
-	last := a.peers[peer]
+	last, known := a.peers[id]
 	switch {
-	case first:
-		if !a.informed {
-			a.level = min(max(float64(u.Level), a.level), a.contract.Burst*st.group)
-			a.informed = true
-		}
+	case joined == 0:
+		return // No instance that admits requests.
+	case known && last.joined != joined, !a.informed:
+		a.level = min(max(float64(u.Level), a.level), a.contract.Burst*st.group)
+		a.informed = true
+	case !known:
+		a.level -= min(float64(u.Admitted), float64(u.Demand)) // What it admitted lately; the rest was before.
 	case u.Admitted >= last.admitted:
 		a.level -= float64(u.Admitted - last.admitted)
 	default:
 		a.level -= float64(u.Admitted) // The peer started anew.
 	}
 	a.level = max(a.level, -a.contract.Burst-debtTime.Seconds()*a.contract.Rate)
-	a.peers[peer] = peerUsage{admitted: u.Admitted, demand: float64(u.Demand), at: now}
+	a.peers[id] = peerUsage{admitted: u.Admitted, demand: float64(u.Demand), at: now, joined: joined}
 }
 
 // grant lets this instance use its share of what is left.
--- a/internal/apportioner/apportioner.go
+++ b/internal/apportioner/apportioner.go
@@ -85,7 +85,13 @@
 
 	mu      sync.RWMutex
 	members int                  // Instances that admit requests, this one included; at least 1.
-	heard   map[string]time.Time // When each peer reported last.
+	heard   map[string]*peer // By instance ID.
+}
+
+// A peer is another instance that admits requests.
+type peer struct {
+	at     time.Time // Of its last report; zero before the first one.
+	joined int       // How often it was heard after a silence.
 }
 
 type shard struct {
@@ -95,7 +101,7 @@
 
 // New returns an apportioner without workspaces.
 func New(clock Clock) *Apportioner {
-	a := &Apportioner{clock: clock, members: 1, heard: map[string]time.Time{}}
+	a := &Apportioner{clock: clock, members: 1, heard: map[string]*peer{}}
 	for i := range a.shards {
 		a.shards[i].accounts = map[string]*account{}
 	}
@@ -142,9 +148,12 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.members = len(peers) + 1
-	heard := make(map[string]time.Time, len(peers))
-	for _, peer := range peers {
-		heard[peer] = a.heard[peer]
+	heard := make(map[string]*peer, len(peers))
+	for _, id := range peers {
+		heard[id] = a.heard[id]
+		if heard[id] == nil {
+			heard[id] = &peer{}
+		}
 	}
 	a.heard = heard
 }
@@ -159,8 +168,8 @@
 	a.mu.RLock()
 	defer a.mu.RUnlock()
 	together := 1
-	for _, at := range a.heard {
-		if !at.IsZero() && now.Sub(at) < heardWithin {
+	for _, p := range a.heard {
+		if p.joined > 0 && now.Sub(p.at) < heardWithin {
 			together++
 		}
 	}
@@ -203,20 +212,15 @@
 }
 
 // Learn takes over the report of a peer. What it does not name has not changed.
-func (a *Apportioner) Learn(peer string, usages []Usage) {
+func (a *Apportioner) Learn(id string, usages []Usage) {
 	now := a.clock.Now()
-	a.mu.Lock()
-	at, member := a.heard[peer]
-	if member {
-		a.heard[peer] = now
-	}
-	a.mu.Unlock()
+	joined := a.hear(id, now)
 	standing := a.standing(now)
 	for _, u := range usages {
 		s := a.shard(u.Workspace)
 		s.mu.Lock()
 		if acc, ok := s.accounts[u.Workspace]; ok {
-			acc.learn(peer, u, at.IsZero(), standing, now)
+			acc.learn(id, u, joined, standing, now)
 		}
 		s.mu.Unlock()
 	}
@@ -225,6 +229,21 @@
 	}
 }
 
+// hear notes a report and returns how often the peer was heard after a silence.
+func (a *Apportioner) hear(id string, now time.Time) (joined int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	p, member := a.heard[id]
+	if !member {
+		return 0
+	}
+	if p.joined == 0 || now.Sub(p.at) >= heardWithin {
+		p.joined++
+	}
+	p.at = now
+	return p.joined
+}
+
 // grant lets the workspaces that sent requests lately use what is left.
 func (s *shard) grant(st standing, now time.Time) {
 	s.mu.Lock()
--- a/internal/apportioner/apportioner_test.go
+++ b/internal/apportioner/apportioner_test.go
@@ -146,6 +146,35 @@
 	}
 }
 
+// TestRejoin guards against refusals after a cut has healed: what the others
+// admitted meanwhile came from their part of the contract (site lh-order-desk,
+// incident inc-c5a2).
+func TestRejoin(t *testing.T) {
+	f := newFleet(5, 60, 60)
+	load := []float64{8, 8, 8, 8, 8}
+	f.run(2*time.Second, load)
+	f.cut[0] = true
+	f.run(6*time.Second, load)
+	delete(f.cut, 0)
+	admitted, offered := f.offer(3*time.Second, load)
+	assert.Equal(t, admitted, offered)
+}
+
+// TestRestart guards against an instance that starts anew and takes what its
+// peers admitted before for use of the present burst.
+func TestRestart(t *testing.T) {
+	f := newFleet(3, 60, 60)
+	f.run(20*time.Second, []float64{0, 20, 20}) // The peers have admitted hundreds.
+	f.run(3*time.Second, []float64{0, 0, 0})
+	started := New(f.clock)
+	started.Install([]Contract{{Workspace: workspace, Rate: 60, Burst: 60}})
+	started.SetMembers(f.others(0))
+	f.instances[0] = started
+	f.run(2*time.Second, []float64{1, 0, 0})
+	admitted, offered := f.offer(3*time.Second, []float64{5, 20, 20})
+	assert.Equal(t, admitted, offered)
+}
+
 // many is the number of instances of a large fleet.
 const many = 27
 
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -85,6 +85,17 @@
 		r.b.ForgetPeer("peer")
 		assert.Equal(t, r.acquire(t, Online).Backend.ID, "a")
 	})
+	t.Run("a server elsewhere before a wait at home", func(t *testing.T) {
+		r := newRig("a")
+		r.b.Install([]Backend{
+			{ID: "a", Service: service, Slots: 4, FailureDomain: "d1"}, {ID: "b", Service: service, Slots: 4, FailureDomain: "d2"},
+		})
+		for range 4 {
+			assert.Equal(t, r.acquire(t, Online, "b").Backend.ID, "a")
+		}
+		assert.Equal(t, r.acquire(t, Online).Backend.ID, "b")
+		assert.Equal(t, r.acquire(t, Online).Backend.ID, "b")
+	})
 	t.Run("no leaving server", func(t *testing.T) {
 		r := newRig("a")
 		r.b.Install([]Backend{{ID: "a", Service: service, Slots: 4, Leaving: true}})
--- a/internal/balancer/pool.go
+++ b/internal/balancer/pool.go
@@ -15,6 +15,9 @@
 	// awayPenalty is the load that a server that is not home has to have less
 	// before it is preferred. Its load is known late.
 	awayPenalty = 0.25
+	// queuePenalty is the cost of a server whose slots are taken: a request waits
+	// there, which is worse than any way.
+	queuePenalty = 0.6
 	// awayNoise spreads the choices of instances that see the same servers with
 	// little load, so that they do not all take the same one.
 	awayNoise = 0.25
@@ -225,7 +228,11 @@
 // cost is the load of a server for its slots, with penalties for servers that
 // are not home. The lowest is chosen.
 func (s *server) cost(domain string) float64 {
-	cost := float64(s.load()) / float64(s.Slots)
+	load := s.load()
+	cost := float64(load) / float64(s.Slots)
+	if load >= s.Slots {
+		cost += queuePenalty
+	}
 	if s.home {
 		return cost
 	}
