--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -126,15 +126,6 @@
 	return b.pools[service]
 }
 
-// Servers is the number of servers of a service that take requests.
-func (b *Balancer) Servers(service string) int {
-	p := b.pool(service)
-	if p == nil {
-		return 0
-	}
-	return p.candidates()
-}
-
 // A Query describes the work that needs a server.
 type Query struct {
 	Service string
--- a/internal/balancer/pool.go
+++ b/internal/balancer/pool.go
@@ -123,18 +123,6 @@
 	}
 }
 
-func (p *pool) candidates() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	n := 0
-	for _, s := range p.order {
-		if !s.Leaving {
-			n++
-		}
-	}
-	return n
-}
-
 func (p *pool) acquire(q Query, cfg Config) (*Placement, error) {
 	p.mu.Lock()
 	now := cfg.Clock.Now()
--- a/internal/emulator/storeemulator/store.go
+++ b/internal/emulator/storeemulator/store.go
@@ -82,6 +82,15 @@
 	return s.fault(operation)
 }
 
+// EndLeases ends all leases, as a store may do while it is down.
+func (s *Store) EndLeases() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id := range s.leases {
+		s.endLease(id)
+	}
+}
+
 func (s *Store) endLease(id int64) {
 	delete(s.leases, id)
 	for _, key := range slices.Sorted(maps.Keys(s.entries)) {
--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -17,6 +17,7 @@
 
 	"github.com/quetzalhitch/quetzalhitch/internal/follower"
 	"github.com/quetzalhitch/quetzalhitch/internal/storer"
+	"github.com/quetzalhitch/quetzalhitch/internal/waiter"
 )
 
 const (
@@ -109,24 +110,13 @@
 	group.Go(func() {
 		defer close(ended)
 		for ctx.Err() == nil {
-			e.pause(ctx, e.step(ctx))
+			waiter.Pause(ctx, e.cfg.Clock, e.step(ctx), e.wake)
 		}
 		ended <- e.withdraw(context.WithoutCancel(ctx))
 	})
 	return ended
 }
 
-func (e *Enroller) pause(ctx context.Context, d time.Duration) {
-	done := make(chan struct{})
-	timer := e.cfg.Clock.AfterFunc(d, func() { close(done) })
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-done:
-	case <-e.wake:
-	}
-}
-
 // step enrolls or renews, and returns the time until the next step.
 func (e *Enroller) step(ctx context.Context) time.Duration {
 	e.expire()
@@ -167,7 +157,7 @@
 	if err != nil {
 		return err
 	}
-	value, err := cbor.Marshal(self)
+	value, err := encode(self)
 	if err != nil {
 		return err
 	}
@@ -192,6 +182,8 @@
 	return e.term, e.enrolled && e.lease.Live(e.cfg.Clock.Now())
 }
 
+func encode(m Member) ([]byte, error) { return cbor.Marshal(m) }
+
 // Leave tells the others that this instance hands over what it holds.
 func (e *Enroller) Leave() {
 	e.mu.Lock()
--- /dev/null
+++ b/internal/enroller/enroller_test.go
@@ -0,0 +1,143 @@
+package enroller
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/emulator/storeemulator"
+	"github.com/quetzalhitch/quetzalhitch/internal/follower"
+	"github.com/quetzalhitch/quetzalhitch/internal/storer"
+)
+
+const prefix = "member/"
+
+type rig struct {
+	store *storeemulator.Store
+	e     *Enroller
+	stop  func()
+
+	mu   sync.Mutex
+	last Membership
+}
+
+func start(t *testing.T) *rig {
+	t.Helper()
+	clock := clockwork.NewRealClock()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	r := &rig{store: storeemulator.New(clock)}
+	r.e = New(Config{
+		Self: Member{ID: "a", Incarnation: "a1"}, Prefix: prefix, Store: r.store, Clock: clock, Logger: logger,
+		Changed: func(m Membership) {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.last = m
+		},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := r.e.Start(ctx)
+	var once sync.Once
+	r.stop = func() {
+		once.Do(func() {
+			cancel()
+			assert.NilError(t, <-ended)
+		})
+	}
+	t.Cleanup(r.stop)
+	return r
+}
+
+func awaitTerm(t *testing.T, r *rig, term int, held bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n, h := r.e.Term(); n != term || h != held {
+			return poll.Continue("term %d, held %t", n, h)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(10*time.Millisecond))
+}
+
+// follow shows the enroller the entries of the store.
+func (r *rig) follow(t *testing.T) Membership {
+	t.Helper()
+	l, err := r.store.List(t.Context(), prefix)
+	assert.NilError(t, err)
+	r.e.Follow(follower.Copy{Entries: l.Entries, Version: l.Version})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.last
+}
+
+func (r *rig) enter(t *testing.T, m Member) {
+	t.Helper()
+	value, err := encode(m)
+	assert.NilError(t, err)
+	_, err = r.store.Commit(t.Context(), storer.Transaction{Writes: []storer.Write{{Key: prefix + m.ID, Value: value}}})
+	assert.NilError(t, err)
+}
+
+func (r *rig) remove(t *testing.T, id string) {
+	t.Helper()
+	_, err := r.store.Commit(t.Context(), storer.Transaction{Remove: []string{prefix + id}})
+	assert.NilError(t, err)
+}
+
+func assertMembership(t *testing.T, m Membership, peers, absent int) {
+	t.Helper()
+	assert.Equal(t, len(m.Peers), peers, "peers")
+	assert.Equal(t, len(m.Absent), absent, "absent")
+}
+
+// TestTerm guards against instances that rely on what they hold after their
+// lease has ended.
+func TestTerm(t *testing.T) {
+	r := start(t)
+	awaitTerm(t, r, 1, true)
+	t.Run("a lease that ended is a new term", func(t *testing.T) {
+		r.store.EndLeases()
+		awaitTerm(t, r, 2, true)
+	})
+	t.Run("the entry goes with the instance", func(t *testing.T) {
+		r.stop()
+		_, err := r.store.Get(t.Context(), prefix+"a")
+		assert.ErrorIs(t, err, storer.ErrNotFound)
+	})
+}
+
+// TestMembership guards against instances that lose their part of the contracts
+// because the store turned them away, and against ones that keep it after they
+// have left.
+func TestMembership(t *testing.T) {
+	r := start(t)
+	awaitTerm(t, r, 1, true)
+	r.enter(t, Member{ID: "b", Incarnation: "b1"})
+	r.enter(t, Member{ID: "c", Incarnation: "c1"})
+	assertMembership(t, r.follow(t), 2, 0)
+	t.Run("one vanishes", func(t *testing.T) {
+		r.remove(t, "b")
+		assertMembership(t, r.follow(t), 1, 1)
+	})
+	t.Run("it comes back", func(t *testing.T) {
+		r.enter(t, Member{ID: "b", Incarnation: "b2"})
+		assertMembership(t, r.follow(t), 2, 0)
+	})
+	t.Run("one leaves", func(t *testing.T) {
+		r.enter(t, Member{ID: "c", Incarnation: "c1", Leaving: true})
+		assertMembership(t, r.follow(t), 2, 0)
+		r.remove(t, "c")
+		assertMembership(t, r.follow(t), 1, 0)
+	})
+	t.Run("an entry by another writer", func(t *testing.T) {
+		_, err := r.store.Commit(t.Context(), storer.Transaction{Writes: []storer.Write{{Key: prefix + "d", Value: []byte("{")}}})
+		assert.NilError(t, err)
+		assertMembership(t, r.follow(t), 1, 0)
+	})
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/quetzalhitch/quetzalhitch/internal/storer"
+	"github.com/quetzalhitch/quetzalhitch/internal/waiter"
 )
 
 const (
@@ -106,25 +107,15 @@
 			return
 		}
 		f.lost(err)
-		wait(ctx, f.cfg.Clock, pause)
+		waiter.Pause(ctx, f.cfg.Clock, pause, nil)
 		pause = min(2*pause, maxRetry)
 	}
 }
 
-func wait(ctx context.Context, clock storer.Clock, d time.Duration) {
-	done := make(chan struct{})
-	timer := clock.AfterFunc(d, func() { close(done) })
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-done:
-	}
-}
-
 // step lists the keys, or waits for changes where a copy is there.
 func (f *Follower) step(ctx context.Context) error {
 	if f.delegate() {
-		wait(ctx, f.cfg.Clock, delegatePause)
+		waiter.Pause(ctx, f.cfg.Clock, delegatePause, nil)
 		return nil
 	}
 	after, listed := f.position()
@@ -149,7 +140,7 @@
 	}
 	f.apply(changes, version)
 	if len(changes) > 0 {
-		wait(ctx, f.cfg.Clock, f.cfg.Gather)
+		waiter.Pause(ctx, f.cfg.Clock, f.cfg.Gather, nil)
 	}
 	return nil
 }
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -19,6 +19,7 @@
 	"github.com/quetzalhitch/quetzalhitch/internal/follower"
 	"github.com/quetzalhitch/quetzalhitch/internal/linker"
 	"github.com/quetzalhitch/quetzalhitch/internal/storer"
+	"github.com/quetzalhitch/quetzalhitch/internal/waiter"
 )
 
 const (
@@ -153,7 +154,7 @@
 		defer close(ended)
 		for ctx.Err() == nil {
 			period := g.round(ctx)
-			pause(ctx, g.cfg.Clock, period)
+			waiter.Pause(ctx, g.cfg.Clock, period, nil)
 		}
 		g.group.Wait()
 		ended <- nil
@@ -161,16 +162,6 @@
 	return ended
 }
 
-func pause(ctx context.Context, clock storer.Clock, d time.Duration) {
-	done := make(chan struct{})
-	timer := clock.AfterFunc(d, func() { close(done) })
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-done:
-	}
-}
-
 // round begins an exchange with each peer that this instance calls: of two
 // instances, the one with the lower ID calls the other.
 func (g *Gossiper) round(ctx context.Context) time.Duration {
--- a/internal/jobkeeper/pump.go
+++ b/internal/jobkeeper/pump.go
@@ -8,6 +8,7 @@
 
 	"github.com/quetzalhitch/quetzalhitch/internal/balancer"
 	"github.com/quetzalhitch/quetzalhitch/internal/steerer"
+	"github.com/quetzalhitch/quetzalhitch/internal/waiter"
 )
 
 // roomWait is the longest wait for room before servers are looked at again:
@@ -150,14 +151,7 @@
 		if err == nil {
 			return placement
 		}
-		waited := make(chan struct{})
-		timer := p.keeper.cfg.Clock.AfterFunc(roomWait, func() { close(waited) })
-		select {
-		case <-ctx.Done():
-		case <-room:
-		case <-waited:
-		}
-		timer.Stop()
+		waiter.Pause(ctx, p.keeper.cfg.Clock, roomWait, room)
 	}
 	return nil
 }
@@ -183,23 +177,15 @@
 	return q[i].job.manifest.SubmittedAt.Before(q[j].job.manifest.SubmittedAt)
 }
 
-func (q workQueue) Swap(i, j int) {
-	q[i], q[j] = q[j], q[i]
-	q[i].waiting, q[j].waiting = i, j
-}
+func (q workQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
 
 // Push implements heap.Interface.
-func (q *workQueue) Push(x any) {
-	w := x.(*work)
-	w.waiting = len(*q)
-	*q = append(*q, w)
-}
+func (q *workQueue) Push(x any) { *q = append(*q, x.(*work)) }
 
 // Pop implements heap.Interface.
 func (q *workQueue) Pop() any {
 	old := *q
 	w := old[len(old)-1]
 	*q = old[:len(old)-1]
-	w.waiting = -1
 	return w
 }
--- a/internal/jobkeeper/sweep.go
+++ b/internal/jobkeeper/sweep.go
@@ -13,6 +13,7 @@
 
 	"github.com/quetzalhitch/quetzalhitch/internal/enroller"
 	"github.com/quetzalhitch/quetzalhitch/internal/storer"
+	"github.com/quetzalhitch/quetzalhitch/internal/waiter"
 )
 
 const (
@@ -52,16 +53,7 @@
 }
 
 func (k *Keeper) awaitSweep(ctx context.Context, period time.Duration) {
-	done := make(chan struct{})
-	timer := k.cfg.Clock.AfterFunc(period, func() { close(done) })
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return
-	case <-done:
-		return
-	case <-k.sweeps:
-	}
+	waiter.Pause(ctx, k.cfg.Clock, period, k.sweeps)
 	k.sleep(sweepDelay)
 	select {
 	case <-k.sweeps:
--- a/internal/jobkeeper/work.go
+++ b/internal/jobkeeper/work.go
@@ -45,7 +45,6 @@
 	after    string // ID of the last event.
 	failures int    // Answers that say that the item failed.
 	deaths   int    // Runs that ended with a lost connection before any event.
-	waiting  int    // Position in the queue; -1 outside of it.
 }
 
 // stop ends the run under way and all later ones.
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -36,7 +36,6 @@
 	Kind        Kind
 	Resumable   bool // A stream may go on at another backend server after the last event had.
 	Open        bool // No key is needed.
-	Priority    int  // Zero is the most urgent.
 	MaxAttempts int  // Backend servers on which one request may run; at least 1.
 	Targets     []Target
 	Timeout     time.Duration // Longest time that a caller is kept waiting.
@@ -79,26 +78,16 @@
 
 // A Workspace is a customer with its keys and its contract.
 type Workspace struct {
-	Name     string
-	Keys     []string
-	Priority int
-	Rate     float64 // Requests per second over all instances; zero means no bound.
-	Burst    float64 // Requests.
+	Name  string
+	Keys  []string
+	Rate  float64 // Requests per second over all instances; zero means no bound.
+	Burst float64 // Requests.
 }
 
-// A Service is a kind of backend servers.
-type Service struct {
-	Name     string
-	MaxConns int  // Connections that one of its servers accepts from all callers.
-	Model    bool // Its servers are model engines.
-}
-
-// Limits bound what a caller may send.
+// Limits bound what a caller may send. Zero means no bound.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	HeaderBytes int
+	BodyBytes   int
 }
 
 // A Policy is one version of the operator's configuration.
@@ -106,27 +95,24 @@
 	Version    int64
 	Routes     []Route
 	Workspaces []Workspace
-	Services   []Service
 	Limits     Limits
 }
 
 // A Table is a policy prepared for look-ups. It does not change.
 type Table struct {
-	Policy     Policy
-	hosts      map[string][]*Route   // Longest prefix first.
-	names      map[string]*Route     // By route name.
-	keys       map[string]*Workspace // By key.
-	workspaces map[string]*Workspace // By name.
+	Policy Policy
+	hosts  map[string][]*Route   // Longest prefix first.
+	names  map[string]*Route     // By route name.
+	keys   map[string]*Workspace // By key.
 }
 
 // NewTable prepares a policy.
 func NewTable(p Policy) *Table {
 	t := &Table{
-		Policy:     p,
-		hosts:      map[string][]*Route{},
-		names:      map[string]*Route{},
-		keys:       map[string]*Workspace{},
-		workspaces: map[string]*Workspace{},
+		Policy: p,
+		hosts:  map[string][]*Route{},
+		names:  map[string]*Route{},
+		keys:   map[string]*Workspace{},
 	}
 	for i := range p.Routes {
 		r := &p.Routes[i]
@@ -138,7 +124,6 @@
 	}
 	for i := range p.Workspaces {
 		w := &p.Workspaces[i]
-		t.workspaces[w.Name] = w
 		for _, key := range w.Keys {
 			t.keys[key] = w
 		}
@@ -173,12 +158,6 @@
 	return w, ok
 }
 
-// Workspace finds a workspace by its name.
-func (t *Table) Workspace(name string) (*Workspace, bool) {
-	w, ok := t.workspaces[name]
-	return w, ok
-}
-
 // NeedsKeys reports whether requests of routes that are not open carry keys.
 func (t *Table) NeedsKeys() bool {
 	return len(t.Policy.Workspaces) > 0
