--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -66,7 +66,11 @@
 	Clock         Clock
 	FailureDomain string
 	Probe         Probe
-	Logger        logrus.FieldLogger
+	// Crowded is called when an online request meets batch work of a peer on a
+	// server without a free slot, so that the peer hears of it at once. Nil calls
+	// nobody.
+	Crowded func(peer string)
+	Logger  logrus.FieldLogger
 }
 
 // A Balancer holds the servers of all services, one shard for each service.
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -17,7 +17,8 @@
 	clock *clockwork.FakeClock
 	b     *Balancer
 
-	reached bool // By probes.
+	reached bool   // By probes.
+	crowded string // Peer that was told.
 }
 
 // Probe implements Probe.
@@ -39,7 +40,7 @@
 	r := &rig{clock: clockwork.NewFakeClock()}
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	r.b = New(Config{Clock: r.clock, FailureDomain: "d1", Probe: r, Logger: logger})
+	r.b = New(Config{Clock: r.clock, FailureDomain: "d1", Probe: r, Logger: logger, Crowded: func(peer string) { r.crowded = peer }})
 	var backends []Backend
 	for _, id := range ids {
 		backends = append(backends, Backend{ID: id, Service: service, Address: id + ":1", FailureDomain: "d1", Slots: 4})
@@ -221,6 +222,14 @@
 		r.b.SetPeerLoads("peer", []ServerLoad{{Server: "a", Load: Load{Online: 4}}})
 		assertDisplaced(t, p, true)
 	})
+	t.Run("a peer whose batch work is in the way is told", func(t *testing.T) {
+		r := newRig("a")
+		r.b.SetPeerLoads("peer", []ServerLoad{{Server: "a", Load: Load{Online: 1, Batch: 2}}})
+		r.acquire(t, Online)
+		assert.Equal(t, r.crowded, "")
+		r.acquire(t, Online)
+		assert.Equal(t, r.crowded, "peer")
+	})
 	t.Run("room is announced", func(t *testing.T) {
 		r := newRig("a")
 		p := r.acquire(t, Batch)
--- a/internal/balancer/pool.go
+++ b/internal/balancer/pool.go
@@ -14,13 +14,16 @@
 	domainPenalty = 0.15
 	// awayPenalty is the load that a server that is not home has to have less
 	// before it is preferred. Its load is known late.
-	awayPenalty = 0.25
+	awayPenalty = 0.4
 	// queuePenalty is the cost of a server whose slots are taken: a request waits
 	// there, which is worse than any way.
 	queuePenalty = 0.6
-	// awayNoise spreads the choices of instances that see the same servers with
-	// little load, so that they do not all take the same one.
-	awayNoise = 0.25
+	// awayLooks is the number of servers that are not home that one choice looks
+	// at, from a random one on. Instances that all looked at all servers would
+	// meet on the few that were last reported with little load.
+	awayLooks = 3
+	// awayNoise spreads the choices among servers that are not home.
+	awayNoise = 0.2
 	// awayBatchLoad is the part of its slots up to which a server that is not home
 	// takes batch work.
 	awayBatchLoad = 0.4
@@ -138,6 +141,7 @@
 	placement := &Placement{Backend: s.Backend, Load: s.load(), class: q.Class, pool: p, server: s, cfg: cfg, startedAt: now}
 	s.health.begin(now)
 	var displaced *Placement
+	crowding := ""
 	if q.Class == Batch {
 		s.local.Batch++
 		placement.displaced = make(chan struct{})
@@ -145,12 +149,33 @@
 	} else {
 		s.local.Online++
 		displaced = s.displace()
+		if displaced == nil {
+			crowding = s.crowdingPeer()
+		}
 	}
 	p.mu.Unlock()
 	displaced.displace()
+	if crowding != "" && cfg.Crowded != nil {
+		cfg.Crowded(crowding)
+	}
 	return placement, nil
 }
 
+// crowdingPeer is the instance with the most batch work on a server that has more
+// work than slots.
+func (s *server) crowdingPeer() string {
+	if s.load()-s.vacating <= s.Slots {
+		return ""
+	}
+	peer, most := "", 0
+	for id, l := range s.peers {
+		if l.Batch > most {
+			peer, most = id, l.Batch
+		}
+	}
+	return peer
+}
+
 // displace chooses the batch work that has to leave because the server has
 // more work than slots. The newest goes first: it loses the least.
 func (s *server) displace() *Placement {
@@ -199,12 +224,18 @@
 	}
 	var best *server
 	bestCost := 0.0
+	away := 0
 	start := rand.IntN(len(p.order))
 	for i := range p.order {
 		s := p.order[(start+i)%len(p.order)]
 		if s.Leaving || s.health.misdirected || slices.Contains(q.Exclude, s.ID) || s.health.suspected(now) != suspects {
 			continue
 		}
+		if !s.home {
+			if away++; away > awayLooks {
+				continue
+			}
+		}
 		cost := s.cost(domain)
 		if best == nil || cost < bestCost {
 			best, bestCost = s, cost
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -31,6 +31,8 @@
 	// peersPerPeriod is the number of peers up to which the period is minPeriod;
 	// with more, it grows with them.
 	peersPerPeriod = 8
+	// tellPause is the least time between two exchanges out of turn with a peer.
+	tellPause = 25 * time.Millisecond
 	// exchangeTimeout bounds one exchange.
 	exchangeTimeout = 400 * time.Millisecond
 	// copyTimeout bounds the transfer of a copy.
@@ -103,6 +105,7 @@
 	peers    map[string]*peer // By instance ID.
 	fetching map[string]bool  // Names of copies that are being fetched.
 	number   uint64           // Of the last report.
+	base     context.Context  // Of all exchanges; nil before Start.
 	group    conc.WaitGroup
 }
 
@@ -114,6 +117,8 @@
 
 	connected bool // It reaches the store.
 
+	toldAt time.Time // When it was told out of turn.
+
 	incarnation string // Of its last report.
 	number      uint64 // Of its last report.
 }
@@ -148,6 +153,9 @@
 
 // Start exchanges reports until the context ends.
 func (g *Gossiper) Start(ctx context.Context) <-chan error {
+	g.mu.Lock()
+	g.base = ctx
+	g.mu.Unlock()
 	ended := make(chan error, 1)
 	var loop conc.WaitGroup
 	loop.Go(func() {
@@ -254,6 +262,22 @@
 	g.fetchNewer(id, r.Versions)
 }
 
+// Tell exchanges reports with a peer out of turn, unless that was done just now.
+func (g *Gossiper) Tell(id string) {
+	now := g.cfg.Clock.Now()
+	g.mu.Lock()
+	p := g.peers[id]
+	due := p != nil && p.heard && now.Sub(p.toldAt) >= tellPause && g.base != nil && g.base.Err() == nil
+	if due {
+		p.toldAt = now
+	}
+	ctx := g.base
+	g.mu.Unlock()
+	if due {
+		g.group.Go(func() { g.exchange(ctx, id, g.report()) })
+	}
+}
+
 // StorePeers are the peers that reach the store and were heard lately, the one
 // heard last first.
 func (g *Gossiper) StorePeers() []string {
