fix: instances that start together have their parts of the burst

Ruled out: the contracts and the membership. It starts with 0.6 of its part, so that a burst before and one after a kill stay within the allowance together, and a bucket stays as full in proportion when instances are heard or not any more.

--- a/internal/apportioner/account.go
+++ b/internal/apportioner/account.go
@@ -8,6 +8,7 @@
 // An account is the bucket of one workspace as this instance knows it.
 type account struct {
 	contract Contract
+	group    float64   // Part of the contract that the level is measured against.
 	level    float64   // Tokens left to the group; negative after admissions that were learned late.
 	own      float64   // Tokens of the level that this instance may use before it hears of the others again.
 	admitted uint64    // By this instance since it started.
@@ -30,7 +31,7 @@
 }
 
 func newAccount(c Contract, st standing, now time.Time) *account {
-	a := &account{contract: c, level: startLevel * c.Burst * st.group, updated: now, peers: map[string]peerUsage{}}
+	a := &account{contract: c, group: st.group, level: startLevel * c.Burst * st.group, updated: now, peers: map[string]peerUsage{}}
 	a.own = a.level * a.share(st, now)
 	return a
 }
@@ -61,6 +62,7 @@
 
 // advance refills the bucket for the time that has passed.
 func (a *account) advance(st standing, now time.Time) {
+	a.regroup(st)
 	elapsed := now.Sub(a.updated).Seconds()
 	if elapsed <= 0 {
 		return
@@ -73,6 +75,21 @@
 	a.demand *= math.Exp(-elapsed / demandMemory.Seconds())
 }
 
+// regroup keeps the part of the bucket that is filled when instances are heard
+// again, or not any more: they come with their part of what is left, and take it
+// with them.
+func (a *account) regroup(st standing) {
+	if st.group == a.group {
+		return
+	}
+	scale := st.group / a.group
+	a.group = st.group
+	if a.level > 0 {
+		a.level *= scale
+	}
+	a.own = min(a.own, max(1, a.level))
+}
+
 func (a *account) admit(st standing, now time.Time) Decision {
 	a.advance(st, now)
 	a.demand += 1 / demandMemory.Seconds()
--- a/internal/apportioner/apportioner.go
+++ b/internal/apportioner/apportioner.go
@@ -25,7 +25,7 @@
 	heardWithin = 700 * time.Millisecond
 	// startLevel is the part of the burst that a new instance assumes to be
 	// left before it has heard of it.
-	startLevel = 0.25
+	startLevel = 0.6
 	// demandMemory is the time over which demand is averaged. It is shorter than
 	// the bursts of a second or two that traffic comes in.
 	demandMemory = time.Second
--- a/internal/apportioner/apportioner_test.go
+++ b/internal/apportioner/apportioner_test.go
@@ -160,6 +160,24 @@
 	assert.Equal(t, admitted, offered)
 }
 
+// TestColdStart guards against refusals after all instances were killed at once,
+// when callers come back together (site jhwca-cellars, incident inc-92bd: 122
+// refusals in three seconds).
+func TestColdStart(t *testing.T) {
+	f := newFleet(4, 60, 60)
+	for i := range f.instances {
+		f.cut[i] = true // Until they hear each other.
+		f.instances[i] = New(f.clock)
+		f.instances[i].SetMembers(f.others(i)) // Known before the contracts.
+		f.instances[i].Install([]Contract{{Workspace: workspace, Rate: 60, Burst: 60}})
+	}
+	admitted, offered := f.offer(300*time.Millisecond, []float64{30, 30, 30, 30})
+	assert.Equal(t, admitted, offered)
+	f.cut = map[int]bool{}
+	admitted, offered = f.offer(3*time.Second, []float64{14, 14, 14, 14})
+	assert.Equal(t, admitted, offered)
+}
+
 // TestRestart guards against an instance that starts anew and takes what its
 // peers admitted before for use of the present burst.
 func TestRestart(t *testing.T) {
