fix: a leaving lender hands its shards over, slots campaign after pledges, permits are asked for at once

Three known reds of the product's own interface.

TestShutdownCutsNothing/calls_end_whole: between the hand-back of a lender's lease and the first lending of its successor passed 1 s to 2 s, in which requests inside their rate were refused. The leaving lender now stops, tells the first candidate what its pools hold, and the candidate replaces its record and lends on; requests wait for the successor within their 250 ms.

TestAcknowledgedJobOutlivesItsEntry: a slot that no lender had confirmed could not campaign for 4 h. Its holder now campaigns once all older holders but one have pledged to make no promise by a table of slots that lacks it, and their last promises have ended (11 s). A lender goes on by promises only with one of another holder, unless there is only one slot. Ruled out: confirming sooner without pledges, which allows two lenders when the first is cut off.

TestBatchYields/idle_capacity_is_taken_back: permits were asked for every 250 ms, and the lanes of the batcher paused after a refusal. An item that finds no permit now asks at once, at most every 25 ms for an engine, and permits that arrive start the next item.

--- a/internal/batcher/batcher.go
+++ b/internal/batcher/batcher.go
@@ -122,6 +122,7 @@
 	Clock    Clock
 	Logger   logrus.FieldLogger
 	Order    scheduler.Order // Of the jobs; nil for the scheduler's own.
+	Room     <-chan struct{} // Signals that items may find room again; nil where nobody tells.
 
 	LeaseTTL      time.Duration
 	PollPeriod    time.Duration
@@ -195,7 +196,7 @@
 	b.census = &census{ledger: b.ledger, grace: cfg.TakeoverGrace}
 	b.holder = newHolder(b.ledger, cfg)
 	b.holder.onRenewed(b.recheckClaims)
-	b.lanes = newLanes(cfg.Clock, cfg.MaxInFlight, b.wakeUp)
+	b.lanes = newLanes(cfg, b.wakeUp)
 	b.finder = newFinder(b)
 	return b
 }
--- a/internal/batcher/lanes.go
+++ b/internal/batcher/lanes.go
@@ -34,18 +34,20 @@
 type lanes struct {
 	clock    Clock
 	max      int
-	roomLeft func()        // Called when a lane may take another chunk.
-	started  chan struct{} // Signals that there is a new lane.
+	room     <-chan struct{} // Signals that items may find room again.
+	roomLeft func()          // Called when a lane may take another chunk.
+	started  chan struct{}   // Signals that there is a new lane.
 
 	mu       sync.Mutex
 	byName   map[string]*lane
 	inFlight int // Of all lanes; at most max.
 }
 
-func newLanes(clock Clock, limit int, roomLeft func()) *lanes {
+func newLanes(cfg Config, roomLeft func()) *lanes {
 	return &lanes{
-		clock:    clock,
-		max:      limit,
+		clock:    cfg.Clock,
+		max:      cfg.MaxInFlight,
+		room:     cfg.Room,
 		roomLeft: roomLeft,
 		started:  make(chan struct{}, 1),
 		byName:   make(map[string]*lane),
@@ -68,6 +70,10 @@
 		case <-ctx.Done():
 			return
 		case <-s.started:
+		case <-s.room:
+			for _, l := range s.all() {
+				l.roomCame()
+			}
 		}
 	}
 }
@@ -228,6 +234,16 @@
 	}
 }
 
+// roomCame lets one more item start at once.
+func (l *lane) roomCame() {
+	l.mu.Lock()
+	l.notBefore = time.Time{}
+	l.room = 0
+	l.limit = min(max(l.limit, l.inFlight+1), l.lanes.max)
+	l.mu.Unlock()
+	l.signal()
+}
+
 // run starts waiting items when their time has come, until ctx ends.
 func (l *lane) run(ctx context.Context) {
 	for {
--- a/internal/batcher/lanes_test.go
+++ b/internal/batcher/lanes_test.go
@@ -47,7 +47,7 @@
 // the bound of the instance, or sends many items that are refused.
 func TestLaneFollowsRoom(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
-	s := newLanes(clockwork.NewRealClock(), 48, func() {})
+	s := newLanes(Config{Clock: clockwork.NewRealClock(), MaxInFlight: 48}, func() {})
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer cancel()
@@ -94,7 +94,7 @@
 // was given up.
 func TestLaneForgetsGivenUpItems(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
-	s := newLanes(clockwork.NewRealClock(), 1, func() {})
+	s := newLanes(Config{Clock: clockwork.NewRealClock(), MaxInFlight: 1}, func() {})
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer cancel()
--- a/internal/limiter/borrower.go
+++ b/internal/limiter/borrower.go
@@ -80,15 +80,16 @@
 }
 
 // AcquirePermit takes a batch permit of an engine, if one is held here. A try
-// in vain counts as demand.
+// in vain counts as demand, and the lender is asked at once.
 func (b *Borrower) AcquirePermit(server string) (Permit, bool) {
-	return b.ledger.AcquirePermit(server)
-}
-
-// SetDemand says how many permits of an engine this instance could use, those
-// in use included.
-func (b *Borrower) SetDemand(server string, n int) {
-	b.ledger.SetDemand(server, n)
+	permit, ok := b.ledger.AcquirePermit(server)
+	if ok {
+		return permit, true
+	}
+	if batch := b.ledger.AskForPermits(server); batch != nil {
+		b.spawn(func() { b.exchange(b.ctx, batch) })
+	}
+	return Permit{}, false
 }
 
 // PermitsArrived receives a signal when permits were lent.
--- a/internal/limiter/borrower_test.go
+++ b/internal/limiter/borrower_test.go
@@ -74,6 +74,33 @@
 		assertReason(t, b.Admit(context.Background(), testWorkspace), ReasonNoLender)
 		assertReason(t, b.Admit(context.Background(), "unknown"), ReasonUnknownWorkspace)
 	})
+	t.Run("the lender hands over", func(t *testing.T) {
+		clock := clockwork.NewRealClock()
+		directory := NewDirectory(clock)
+		directory.Announce(0, "entry-1", 7)
+		directory.Forget(0, "entry-1")
+		b := NewBorrower(clock, NewLedger(clock, "entry-2", directory), &localCaller{lender: newLending(declared(10, 10, 0)).lender})
+		b.Install(declared(10, 10, 0))
+		time.AfterFunc(2*maxAskPause, func() { directory.Announce(0, "entry-1", 8) })
+		assertReason(t, b.Admit(context.Background(), testWorkspace), ReasonLent)
+	})
+}
+
+// Guards against batch items that wait for the next prefetch while their engine
+// is idle, and against a message for each item that finds no permit.
+func TestPermitsAtTheMomentOfNeed(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	caller := &localCaller{lender: newLending(declared(10, 10, 0)).lender}
+	b := NewBorrower(clock, newTestLedger(clock), caller)
+	b.Install(declared(10, 10, 0))
+	for range 10 {
+		b.AcquirePermit(testServer)
+	}
+	<-b.PermitsArrived()
+	b.group.Wait()
+	assert.Equal(t, caller.calls.Load(), int64(1))
+	_, ok := b.AcquirePermit(testServer)
+	assert.Assert(t, ok)
 }
 
 // Guards against lost or doubled tokens, and against one message for each
--- a/internal/limiter/directory.go
+++ b/internal/limiter/directory.go
@@ -19,6 +19,13 @@
 	Lender string    // Instance ID; empty when none is known.
 	Epoch  int64     // Never goes down, so that late news of an old lender are ignored.
 	SeenAt time.Time // When the lender announced itself last.
+	LostAt time.Time // When the lender stopped lending the shard; zero when none did.
+}
+
+// awaited reports whether there is a lender, or a successor may follow within
+// the wait of a request.
+func (r LenderRow) awaited(now time.Time) bool {
+	return r.Lender != "" || !r.LostAt.IsZero() && now.Sub(r.LostAt) < HandOverTime
 }
 
 // NewDirectory returns a directory that knows no lender.
@@ -55,6 +62,7 @@
 	if row.Lender == lender {
 		row.Lender = ""
 		row.SeenAt = time.Time{}
+		row.LostAt = d.clock.Now()
 		d.rows[shard] = row
 	}
 }
--- a/internal/limiter/leaser/keeper_test.go
+++ b/internal/limiter/leaser/keeper_test.go
@@ -96,10 +96,44 @@
 		w.run(4 * time.Second)
 		assert.Assert(t, w.lenderOf(0) != nil && w.lenderOf(0) != lender)
 	})
+	t.Run("hands its pools over", func(t *testing.T) {
+		w := settledSimulation(4)
+		lender := w.lenderOf(0)
+		free := lender.leaser.lender.Free(limiter.WorkspaceSubject("large"))
+		assert.Assert(t, free > 0)
+		lender.leaser.Leave(context.Background())
+		successor := w.lenderOf(0)
+		assert.Assert(t, successor != nil && successor != lender)
+		assert.Equal(t, lender.leaser.directory.Row(0).Lender, successor.id)
+		assert.Equal(t, successor.leaser.lender.Free(limiter.WorkspaceSubject("large")), free)
+	})
+	t.Run("hands over to nobody", func(t *testing.T) {
+		w := settledSimulation(2)
+		lender := w.lenderOf(0)
+		w.follower().kill()
+		lender.leaser.Leave(context.Background())
+		assert.Assert(t, w.lenderOf(0) == nil)
+		assert.Equal(t, w.store.entries["lender/0"].Version, int64(0))
+	})
+	t.Run("killed before a slot was confirmed", func(t *testing.T) {
+		w := newSimulation(1, testDeclaration(), 4)
+		for w.lenderOf(0) == nil || len(slotEntries(w)) < 4 {
+			w.run(50 * time.Millisecond)
+		}
+		lender := w.lenderOf(0)
+		w.run(3 * time.Second) // The others find no confirmation, but each other.
+		for _, n := range w.nodes {
+			n.leaser.slot.slot.Confirmed = map[int]bool{}
+			n.leaser.slot.confirmed = false
+		}
+		lender.kill()
+		w.run(lenderTerm + promiseTerm + 5*time.Second)
+		assert.Assert(t, w.lenderOf(0) != nil)
+	})
 	t.Run("leaves with a promise", func(t *testing.T) {
 		w := settledSimulation(4)
 		lender, holder := w.lenderOf(0), w.follower()
-		r := PromiseRequest{Shard: 0, Epoch: epochOf(lender, 0), Term: promiseTerm}
+		r := PromiseRequest{Shard: 0, Epoch: epochOf(lender, 0), Table: newest(w), Term: promiseTerm}
 		assert.Assert(t, holder.leaser.shards[0].promise(lender.id, r))
 		holder.leaser.Leave(context.Background())
 		_, held := w.store.entries[fmt.Sprint(slotPrefix, holder.leaser.slot.slot.Number)]
@@ -131,7 +165,7 @@
 	w := settledSimulation(4)
 	lender, holder := w.lenderOf(0), w.follower()
 	k := holder.leaser.shards[0]
-	r := PromiseRequest{Shard: 0, Epoch: epochOf(lender, 0), Term: time.Hour}
+	r := PromiseRequest{Shard: 0, Epoch: epochOf(lender, 0), Table: newest(w), Term: time.Hour}
 	t.Run("to a lender that was followed", func(t *testing.T) {
 		old := r
 		old.Epoch--
@@ -141,6 +175,12 @@
 		assert.Assert(t, k.promise(lender.id, r))
 		assert.Assert(t, !k.startCampaign(w.now.Add(promiseTerm-time.Millisecond)))
 	})
+	t.Run("not by a table that lacks a slot", func(t *testing.T) {
+		w := settledSimulation(4)
+		old := PromiseRequest{Shard: 0, Epoch: epochOf(w.lenderOf(0), 0), Table: newest(w), Term: promiseTerm}
+		assert.Assert(t, w.follower().leaser.slot.pledge(old.Table+1))
+		assert.Assert(t, !w.follower().leaser.shards[0].promise(w.lenderOf(0).id, old))
+	})
 	t.Run("not to two", func(t *testing.T) {
 		assert.Assert(t, !k.promise("entry-9", r))
 	})
@@ -234,6 +274,9 @@
 	})
 }
 
+// newest is the version of the table of slots.
+func newest(w *simulation) int64 { return tableOf(slotEntries(w)).Version }
+
 func slotEntries(w *simulation) []storer.Entry {
 	list, _ := nodeStore{fakeStore: w.store, node: w.nodes[0]}.List(context.Background(), slotPrefix)
 	return list
--- a/internal/limiter/leaser/leaser.go
+++ b/internal/limiter/leaser/leaser.go
@@ -1,12 +1,14 @@
 // Package leaser connects the decisions of package limiter with the platform
 // and with the links: it holds the leases of rate shards and a standing slot,
-// and carries the messages `borrow`, `return` and `promise`.
+// and carries the messages `borrow`, `return`, `promise`, `pledge` and
+// `hand-over`.
 package leaser
 
 import (
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -253,10 +255,7 @@
 	l.leaving = true
 	shards := l.shards
 	l.mu.Unlock()
-	promised := false
-	for _, k := range shards {
-		promised = k.leave(ctx) || promised
-	}
+	promised := l.handOverAll(ctx, shards)
 	l.announce()
 	l.slot.stopUse()
 	l.borrower.HandBack(ctx)
@@ -265,6 +264,22 @@
 	}
 }
 
+// handOverAll hands the shards over side by side. It reports whether a promise
+// for one of them is in force.
+func (l *Leaser) handOverAll(ctx context.Context, shards []*shardKeeper) bool {
+	var promised atomic.Bool
+	var group conc.WaitGroup
+	for _, k := range shards {
+		group.Go(func() {
+			if k.leave(ctx) {
+				promised.Store(true)
+			}
+		})
+	}
+	group.Wait()
+	return promised.Load()
+}
+
 // awaitTransit waits until no standing token is on its way to a lender: the
 // slot's next holder must not hold it as well.
 func (l *Leaser) awaitTransit(ctx context.Context) bool {
--- a/internal/limiter/leaser/lending.go
+++ b/internal/limiter/leaser/lending.go
@@ -9,6 +9,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/sourcegraph/conc"
 
+	"github.com/quetzalhitch/quetzalhitch/internal/limiter"
 	"github.com/quetzalhitch/quetzalhitch/internal/linker"
 	"github.com/quetzalhitch/quetzalhitch/internal/storer"
 )
@@ -32,6 +33,7 @@
 			err = tableErr
 		}
 	}
+	k.leaser.slot.confirm(k.number, k.leaser.lender.ConfirmedSlots(k.number))
 	return err
 }
 
@@ -148,7 +150,7 @@
 		}
 		k.setDoubt(doubt{})
 	}
-	return k.write(ctx)
+	return k.write(ctx, 0)
 }
 
 // tableDue tells whether the table of slots has to be read.
@@ -167,21 +169,26 @@
 	if err != nil {
 		return err
 	}
-	table := tableOf(entries)
+	k.takeTable(tableOf(entries), now)
+	return nil
+}
+
+// takeTable takes over the table of slots that was read at a time.
+func (k *shardKeeper) takeTable(table limiter.SlotTable, now time.Time) {
 	k.leaser.lender.SetSlots(k.number, table)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.table = table
 	k.tableAt = now
 	k.hinted = table.Version
-	return nil
 }
 
 // A PromiseRequest asks a slot holder not to campaign for a rate shard.
 type PromiseRequest struct {
 	Shard int           `cbor:"shard"`
 	Epoch int64         `cbor:"epoch"`
-	Term  time.Duration `cbor:"term"` // From the receipt of the request.
+	Table int64         `cbor:"table"` // Version of the lender's table of slots.
+	Term  time.Duration `cbor:"term"`  // From the receipt of the request.
 }
 
 // A PromiseAnswer says whether the promise is made.
@@ -191,18 +198,22 @@
 
 // extendByPromises extends the right to lend if every slot holder promises
 // not to campaign. Only slot holders campaign, and one that is not in the
-// table that this lender read does not campaign before it is confirmed.
+// table that this lender read campaigns only when it is confirmed or after
+// those in the table pledged to make no promise by it.
 func (k *shardKeeper) extendByPromises(ctx context.Context, slotEnd time.Time) (err error) {
 	defer func() { err = merry.Prepend(err, "extend by promises") }()
 
 	sentAt := k.leaser.cfg.Clock.Now()
 	k.mu.Lock()
 	table, age := k.table, sentAt.Sub(k.tableAt)
-	request := PromiseRequest{Shard: k.number, Epoch: k.epoch, Term: promiseTerm}
+	request := PromiseRequest{Shard: k.number, Epoch: k.epoch, Table: table.Version, Term: promiseTerm}
 	k.mu.Unlock()
 	if !table.Read || age > maxExtension-time.Minute {
 		return merry.New("no recent table of slots")
 	}
+	if !k.leaser.slot.mayExtend(table) {
+		return merry.New("a slot that is not in the table may campaign")
+	}
 	if refused := k.collectPromises(ctx, table.Holders, request); refused > 0 {
 		return merry.Errorf("%d of %d slot holders did not promise", refused, len(table.Holders))
 	}
@@ -236,10 +247,14 @@
 
 // promise answers a lender that asks this instance not to campaign. It is
 // refused while a campaign of this instance is undecided, and to a lender
-// that a newer one has followed.
+// that a newer one has followed, or whose table lacks a slot that this instance
+// pledged to count.
 func (k *shardKeeper) promise(lender string, r PromiseRequest) bool {
 	now := k.leaser.cfg.Clock.Now()
 	row := k.leaser.directory.Row(k.number)
+	if !k.leaser.slot.countedBy(r.Table) {
+		return false
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	bound := k.promisedTo != lender && now.Before(k.promisedUntil)
--- a/internal/limiter/leaser/links_test.go
+++ b/internal/limiter/leaser/links_test.go
@@ -83,7 +83,7 @@
 	})
 	t.Run("promise", func(t *testing.T) {
 		var answer PromiseAnswer
-		r := PromiseRequest{Shard: 1, Epoch: epochOf(&node{leaser: a.leaser}, 1), Term: promiseTerm}
+		r := PromiseRequest{Shard: 1, Epoch: epochOf(&node{leaser: a.leaser}, 1), Table: b.leaser.SlotVersion(), Term: promiseTerm}
 		assert.NilError(t, a.links.Call(context.Background(), "entry-b", linker.KindPromise, r, &answer))
 		assert.Assert(t, answer.Promised)
 	})
--- a/internal/limiter/leaser/messages.go
+++ b/internal/limiter/leaser/messages.go
@@ -15,11 +15,14 @@
 	Handle(kind linker.Kind, h linker.Handler)
 }
 
-// Register registers the handlers of `borrow`, `return` and `promise`.
+// Register registers the handlers of `borrow`, `return`, `promise`, `pledge` and
+// `hand-over`.
 func (l *Leaser) Register(s HandlerSet) {
 	s.Handle(linker.KindBorrow, borrowHandler{lender: l.lender})
 	s.Handle(linker.KindReturn, borrowHandler{lender: l.lender})
 	s.Handle(linker.KindPromise, promiseHandler{leaser: l})
+	s.Handle(linker.KindPledge, pledgeHandler{slot: l.slot})
+	s.Handle(linker.KindHandOver, handOverHandler{leaser: l})
 }
 
 // Borrow sends a batch to its lender, which may be this instance. It
@@ -71,3 +74,35 @@
 	k := h.leaser.shard(request.Shard)
 	return linker.Marshal(PromiseAnswer{Promised: k != nil && k.promise(sender, request)})
 }
+
+// A pledgeHandler answers `pledge`.
+type pledgeHandler struct {
+	slot *slotKeeper
+}
+
+// Handle implements linker.Handler.
+func (h pledgeHandler) Handle(_ context.Context, _ string, payload []byte) (response []byte, err error) {
+	defer func() { err = merry.Prepend(err, "pledge") }()
+
+	var request PledgeRequest
+	if err := linker.Unmarshal(payload, &request); err != nil {
+		return nil, err
+	}
+	return linker.Marshal(PledgeAnswer{Pledged: h.slot.pledge(request.Slot)})
+}
+
+// A handOverHandler answers `hand-over`.
+type handOverHandler struct {
+	leaser *Leaser
+}
+
+// Handle implements linker.Handler.
+func (h handOverHandler) Handle(ctx context.Context, _ string, payload []byte) (response []byte, err error) {
+	defer func() { err = merry.Prepend(err, "take a rate shard over") }()
+
+	var request limiter.HandOver
+	if err := linker.Unmarshal(payload, &request); err != nil {
+		return nil, err
+	}
+	return linker.Marshal(h.leaser.takeOver(ctx, request))
+}
--- a/internal/limiter/leaser/property_test.go
+++ b/internal/limiter/leaser/property_test.go
@@ -133,8 +133,11 @@
 
 // try takes a permit for an item of random length.
 func (p *permitWatch) try(n *node) {
-	permit, ok := n.leaser.Borrower().AcquirePermit(testEngine)
+	permit, ok := n.leaser.ledger.AcquirePermit(testEngine)
 	if !ok {
+		if b := n.leaser.ledger.AskForPermits(testEngine); b != nil {
+			n.exchange(b, nil)
+		}
 		return
 	}
 	p.taken++
--- a/internal/limiter/leaser/shard.go
+++ b/internal/limiter/leaser/shard.go
@@ -184,7 +184,7 @@
 	defer func() { err = merry.Prepend(err, "campaign") }()
 
 	k.absentSince = time.Time{}
-	e, lease, err := k.write(ctx)
+	e, lease, err := k.write(ctx, 0)
 	switch {
 	case err == nil:
 		k.begin(ctx, e, lease)
@@ -194,9 +194,10 @@
 	return err
 }
 
-// write takes a lease and writes the record with it. After an error inDoubt
-// tells whether the record may exist or may still come into existence.
-func (k *shardKeeper) write(ctx context.Context) (e storer.Entry, lease storer.Lease, err error) {
+// write takes a lease and writes the record with it, in place of the one with
+// the epoch before, or where before is zero and there is none. After an error
+// inDoubt tells whether the record may exist or may still come into existence.
+func (k *shardKeeper) write(ctx context.Context, before int64) (e storer.Entry, lease storer.Lease, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	store := k.leaser.cfg.Store
@@ -206,7 +207,9 @@
 	}
 	// The service counts the term from a moment before its answer came.
 	k.setDoubt(doubt{lease: lease, end: k.leaser.cfg.Clock.Now().Add(lenderTerm + leaseMargin)})
-	e, err = store.Put(ctx, storer.PutRequest{Key: k.key(), Value: k.leaser.value(), LeaseID: lease.ID})
+	e, err = store.Put(ctx, storer.PutRequest{
+		Key: k.key(), Value: k.leaser.value(), LeaseID: lease.ID, ExpectedVersion: before,
+	})
 	if err == nil || errors.Is(err, storer.ErrConflict) || errors.Is(err, storer.ErrUnavailable) {
 		k.setDoubt(doubt{})
 	}
@@ -312,7 +315,7 @@
 	}
 }
 
-// leave stops lending because the instance leaves. It reports whether a
+// leave hands the shard over because the instance leaves. It reports whether a
 // promise is in force, during which the slot must be kept.
 func (k *shardKeeper) leave(ctx context.Context) (promised bool) {
 	k.wait()
@@ -322,7 +325,7 @@
 	promised = k.leaser.cfg.Clock.Now().Before(k.promisedUntil)
 	k.mu.Unlock()
 	if lending {
-		k.resign(ctx)
+		k.handOver(ctx)
 	}
 	return promised
 }
--- a/internal/limiter/leaser/simulation_test.go
+++ b/internal/limiter/leaser/simulation_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
+	"reflect"
 	"slices"
 	"sort"
 	"time"
@@ -285,21 +286,35 @@
 	return live
 }
 
-// Call implements Caller for promises, which the simulation answers at once.
-func (n *node) Call(_ context.Context, peer string, _ linker.Kind, request, response any) error {
+// Call implements Caller for messages between keepers, which the simulation
+// answers at once.
+func (n *node) Call(ctx context.Context, peer string, _ linker.Kind, request, response any) error {
 	to := n.sim.node(peer)
 	if !to.awake() || !n.sim.callReachable(n.id, peer) {
 		return linker.ErrUnreachable
 	}
-	r := request.(PromiseRequest)
-	promised := to.leaser.shard(r.Shard).promise(n.id, r)
+	answer := to.answer(ctx, n.id, request)
 	if !n.sim.callReachable(peer, n.id) {
 		return linker.ErrUnknownEffect
 	}
-	*response.(*PromiseAnswer) = PromiseAnswer{Promised: promised}
+	reflect.ValueOf(response).Elem().Set(reflect.ValueOf(answer))
 	return nil
 }
 
+// answer does what the handlers of messages do.
+func (n *node) answer(ctx context.Context, sender string, request any) any {
+	switch r := request.(type) {
+	case PromiseRequest:
+		return PromiseAnswer{Promised: n.leaser.shard(r.Shard).promise(sender, r)}
+	case PledgeRequest:
+		return PledgeAnswer{Pledged: n.leaser.slot.pledge(r.Slot)}
+	case limiter.HandOver:
+		return n.leaser.takeOver(ctx, r)
+	default:
+		panic(fmt.Sprintf("no handler of %T", request))
+	}
+}
+
 // request offers one request of a workspace.
 func (n *node) request(workspace string) {
 	defer n.poll()
--- a/internal/limiter/leaser/slot.go
+++ b/internal/limiter/leaser/slot.go
@@ -23,7 +23,8 @@
 // has said so, because later lenders read the table of slots after they took
 // office. It is also certain when no slot in the table is older, because a
 // lender needs a slot and has read the table after it took office; and when
-// the slot has been held for longer than a lender's table may be old.
+// the slot has been held for longer than a lender's table may be old. Its holder
+// may also campaign after pledges, see collectPledges.
 type slotKeeper struct {
 	stepLock
 	leaser *Leaser
@@ -37,6 +38,8 @@
 	renewAt   time.Time
 	checkAt   time.Time // Next look at the table for older slots, or next try to take a slot.
 	confirmed bool      // For all rate shards.
+	pledged   int64     // No promise is made by a table of a lower version.
+	pledgedAt time.Time // When all older holders but one had pledged; zero before.
 
 	// abandoned are leases of writes in doubt, which are given back. That may
 	// take effect at any later time, so a slot with such a lease is not used,
@@ -104,7 +107,7 @@
 func (k *slotKeeper) mayLend(shard int, now time.Time) (until time.Time, ok bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	ok = k.slot.Version != 0 && k.slot.Confirmed[shard] &&
+	ok = k.slot.Version != 0 && (k.slot.Confirmed[shard] || k.maySucceed(now)) &&
 		!now.Before(k.mayBegin) && now.Before(k.slot.ValidUntil)
 	return k.slot.ValidUntil, ok
 }
@@ -149,6 +152,7 @@
 	defer k.mu.Unlock()
 	k.slot = limiter.Slot{}
 	k.confirmed = false
+	k.pledgedAt = time.Time{}
 	k.leaser.ledger.SetSlot(nil)
 }
 
@@ -201,7 +205,7 @@
 	table := tableOf(entries)
 	for _, e := range entries {
 		if holderOf(e) == k.leaser.cfg.InstanceID {
-			return k.adopt(ctx, e, now)
+			return k.adopt(ctx, e, table.Version, now)
 		}
 	}
 	first := limiter.ShardOf(k.leaser.cfg.InstanceID, count)
@@ -222,9 +226,10 @@
 }
 
 // adopt takes over the slot that an earlier process of this instance held.
-// That process may have promised not to campaign, and standing tokens that it
-// gave back may still be on their way.
-func (k *slotKeeper) adopt(ctx context.Context, e storer.Entry, now time.Time) error {
+// That process may have promised not to campaign, it may have pledged to count
+// any slot that is in the table now, and standing tokens that it gave back may
+// still be on their way.
+func (k *slotKeeper) adopt(ctx context.Context, e storer.Entry, table int64, now time.Time) error {
 	number, ok := slotNumber(e.Key)
 	if !ok {
 		return merry.Errorf("key %q is not a slot", e.Key)
@@ -239,6 +244,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.hold(number, e.Version, lease, now)
+	k.pledged = max(k.pledged, table)
 	k.slot.UsableFrom = found.Add(limiter.TransitTerm)
 	k.mayBegin = found.Add(promiseTerm + leaseMargin)
 	k.publish()
@@ -294,9 +300,11 @@
 	k.takenAt = now
 	k.checkAt = time.Time{}
 	k.confirmed = false
+	k.pledgedAt = time.Time{}
 }
 
-// look confirms the slot if no older one is held.
+// look confirms the slot if no older one is held, and asks for pledges
+// otherwise.
 func (k *slotKeeper) look(ctx context.Context, now time.Time) (err error) {
 	defer func() { err = merry.Prepend(err, "look for older slots") }()
 
@@ -313,6 +321,9 @@
 		oldest = oldest && e.Version >= version
 		found = found || e.Version == version
 	}
+	if !oldest && found {
+		k.collectPledges(ctx, entries)
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if oldest && found && k.slot.Version == version {
--- a/internal/limiter/ledger.go
+++ b/internal/limiter/ledger.go
@@ -102,7 +102,7 @@
 	if decision, ok := a.request(now); ok {
 		return decision, nil
 	}
-	if l.directory.Row(a.shard).Lender == "" {
+	if !l.directory.Row(a.shard).awaited(now) {
 		return a.refusal(ReasonNoLender, 0), nil
 	}
 	return Decision{}, a.wait()
@@ -138,12 +138,16 @@
 	a := w.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	lender := l.directory.Row(a.shard).Lender
-	f, pause, ok := a.askForWaiters(lender, l.clock.Now())
+	now := l.clock.Now()
+	row := l.directory.Row(a.shard)
+	if len(a.waiters) > 0 && row.Lender == "" && row.awaited(now) {
+		return nil, maxAskPause, true
+	}
+	f, pause, ok := a.askForWaiters(row.Lender, now)
 	if f == nil {
 		return nil, pause, ok
 	}
-	b = &Batch{Lender: lender, pending: []*pendingAsk{f}}
+	b = &Batch{Lender: row.Lender, pending: []*pendingAsk{f}}
 	b.finish()
 	return b, 0, true
 }
@@ -166,6 +170,26 @@
 	return list
 }
 
+// AskForPermits returns a batch that asks for permits of an engine at once, or
+// nil when that was done just now or no lender is known.
+func (l *Ledger) AskForPermits(server string) *Batch {
+	s := l.shard(server)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d, ok := s.engines[server]
+	if !ok {
+		return nil
+	}
+	lender := l.directory.Row(d.shard).Lender
+	f, ok := d.askSoon(lender, l.clock.Now())
+	if !ok {
+		return nil
+	}
+	b := &Batch{Lender: lender, pending: []*pendingAsk{f}}
+	b.finish()
+	return b
+}
+
 // Deliver takes over the lender's answer to a batch. It returns a Waiter for
 // each workspace that has to be asked for again.
 func (l *Ledger) Deliver(b *Batch, answer BorrowAnswer) []*Waiter {
--- a/internal/limiter/ledger_test.go
+++ b/internal/limiter/ledger_test.go
@@ -311,7 +311,10 @@
 	})
 	t.Run("up to the demand", func(t *testing.T) {
 		b := newBorrowing(declared(1, 1, 0))
-		b.ledger.SetDemand(testServer, 3)
+		for range 3 {
+			_, ok := b.ledger.AcquirePermit(testServer)
+			assert.Assert(t, !ok)
+		}
 		b.prefetch()
 		for i := range 4 {
 			_, ok := b.ledger.AcquirePermit(testServer)
--- a/internal/limiter/lender.go
+++ b/internal/limiter/lender.go
@@ -192,6 +192,17 @@
 	return lendings
 }
 
+// ConfirmedSlots is the version of slots up to which this instance, as the
+// lender of a shard, counts slots as held; zero when it does not lend.
+func (l *Lender) ConfirmedSlots(number int) int64 {
+	s := l.shard(number)
+	if s == nil {
+		return 0
+	}
+	lending, _ := s.lending(l.clock.Now())
+	return lending.Slots
+}
+
 func (s *lenderShard) begin(term lendingTerm, validUntil, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -221,6 +232,11 @@
 func (s *lenderShard) end() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stop()
+}
+
+// stop ends the lending. The caller holds mu.
+func (s *lenderShard) stop() {
 	s.term.Epoch = 0
 	s.validUntil = time.Time{}
 	s.pools = make(map[string]*pool)
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -33,6 +33,9 @@
 	// AskTimeout bounds the wait of a request for an answer of the lender.
 	// Tokens lent to waiting requests are not used after it.
 	AskTimeout = 250 * time.Millisecond
+	// HandOverTime bounds the time in which a leaving lender hands a shard over.
+	// Meanwhile requests wait for the successor, each for AskTimeout at most.
+	HandOverTime = time.Second
 	// PrefetchPeriod is the interval at which borrowers adapt to demand.
 	PrefetchPeriod = 250 * time.Millisecond
 	// EndOfContracts is the time after which nothing that a lender lent
--- a/internal/limiter/permit.go
+++ b/internal/limiter/permit.go
@@ -11,6 +11,11 @@
 // batch items stop before the lender lends their permits to others.
 const permitGuard = 2 * PrefetchPeriod
 
+// permitAskPause is the least pause between two asks for permits of one engine
+// that are sent at the moment of need. It bounds the messages of an instance
+// whose batch work finds no room to 40 a second for each engine.
+const permitAskPause = 25 * time.Millisecond
+
 // A Permit allows one batch item to run on an engine. Its item must stop when
 // the permit ends.
 type Permit struct {
@@ -88,10 +93,11 @@
 	old     []*permitHolding // With earlier lenders; kept while their permits are in use.
 	pending *pendingAsk
 
-	hint   int // What the user said it could use, in use included.
-	missed int // Permits asked for in vain since the last prefetch.
-	peak   int // Most permits in use since the last prefetch.
+	missed int // Permits asked for in vain since the last ask.
+	peak   int // Most permits in use since the last ask.
 	target int // Fair part as the lender said last.
+
+	askNotBefore time.Time // No ask at the moment of need before.
 }
 
 // newPermitAccount returns a permitAccount without permits.
@@ -115,17 +121,6 @@
 	return d.acquire(now)
 }
 
-// SetDemand says how many permits of an engine this instance could use, those
-// in use included.
-func (l *Ledger) SetDemand(server string, n int) {
-	s := l.shard(server)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if d, ok := s.engines[server]; ok {
-		d.hint = n
-	}
-}
-
 // acquire takes a permit. The caller holds mu.
 func (d *permitAccount) acquire(now time.Time) (Permit, bool) {
 	h := d.current
@@ -162,10 +157,23 @@
 	return d.pending, true
 }
 
+// askSoon returns an ask for the permits that were missed, unless one was sent
+// just now. The caller holds mu.
+func (d *permitAccount) askSoon(lender string, now time.Time) (f *pendingAsk, ok bool) {
+	if now.Before(d.askNotBefore) {
+		return nil, false
+	}
+	f, ok = d.collect(lender, now)
+	if ok {
+		d.askNotBefore = now.Add(permitAskPause)
+	}
+	return f, ok
+}
+
 // wanted is the number of permits that could be used, and starts a new period
 // of measurement.
 func (d *permitAccount) wanted() int {
-	wanted := max(d.hint, d.peak+d.missed, len(d.current.inUse))
+	wanted := max(d.peak+d.missed, len(d.current.inUse))
 	d.missed = 0
 	d.peak = len(d.current.inUse)
 	return wanted
@@ -197,7 +205,7 @@
 // close ends all permits, such as when the engine is withdrawn.
 func (d *permitAccount) close() {
 	d.pending = nil
-	d.hint, d.missed, d.peak = 0, 0, 0
+	d.missed, d.peak = 0, 0
 	d.current.endAll()
 	for _, h := range d.old {
 		h.endAll()
--- a/internal/limiter/pool.go
+++ b/internal/limiter/pool.go
@@ -28,6 +28,10 @@
 	// startedAt is when this lender took over. What an earlier lender lent
 	// may be in use until EndOfContracts after it.
 	startedAt time.Time
+	// handedOver means that the earlier lender said what it had lent, and
+	// lentBefore is that amount.
+	handedOver bool
+	lentBefore int
 
 	free        float64 // Tokens or permits that can be lent.
 	outstanding int     // Sum of the contracts' amounts. free + outstanding <= capacity.
@@ -87,10 +91,12 @@
 // burst.
 func (p *pool) reserve(now time.Time) int {
 	switch age := now.Sub(p.startedAt); {
-	case age < AskTimeout+ContractMargin:
-		return p.part.Burst
 	case age >= EndOfContracts:
 		return 0
+	case p.handedOver:
+		return p.lentBefore
+	case age < AskTimeout+ContractMargin:
+		return p.part.Burst
 	case p.reusable:
 		return p.part.Burst
 	default:
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -42,10 +42,12 @@
 const (
 	KindBorrow          Kind = "borrow"
 	KindCopy            Kind = "copy"
+	KindHandOver        Kind = "hand-over"
 	KindHeartbeat       Kind = "heartbeat"
 	KindJob             Kind = "job"
 	KindObjectGet       Kind = "object-get"
 	KindObjectPut       Kind = "object-put"
+	KindPledge          Kind = "pledge"
 	KindPromise         Kind = "promise"
 	KindReport          Kind = "report"
 	KindReturn          Kind = "return"
--- a/internal/runner/assemble.go
+++ b/internal/runner/assemble.go
@@ -288,6 +288,7 @@
 		Runner:   line,
 		Routes:   line,
 		Order:    p.variant.order,
+		Room:     p.leaser.Borrower().PermitsArrived(),
 		Clock:    e.options.Clock,
 		Logger:   e.options.Logger,
 	})
