fix: an instance that leaves tells the owner of the end of a job

The end was taken at 7.45 s by an instance that had got SIGTERM at 7.0 s; there the owner is told by a task that ends as soon as the instance hands its jobs over, so the owner learned of the end with its next write. Ruled out: the owner (it was there all the time) and the store.

The owner is told before the end is acknowledged, within the caller's request, and only tried again afterwards where that failed. The saving of progress expects that the job was not ended, so that an owner that nobody could tell meets the end within 250 events. Both tests failed first.

--- a/internal/jobkeeper/end.go
+++ b/internal/jobkeeper/end.go
@@ -17,7 +17,8 @@
 )
 
 // End stops a job. What is listed stays readable. The end is acknowledged once
-// it is in the store; the owner is told, and later owners read it.
+// it is in the store and the owner was told, or could not be; later owners read
+// it. An owner that could not be told meets it with its next write.
 func (k *Keeper) End(ctx context.Context, workspace, id string) *refuser.Refusal {
 	if refusal := k.checkWorkspace(ctx, workspace, id); refusal != nil {
 		return refusal
@@ -32,25 +33,35 @@
 	}
 	k.log(id).Info("job ended by its caller")
 	k.noteEnd(id)
-	if _, ok := k.owned(id); !ok {
-		k.running.Go(func() { k.tellOwner(id, workspace) })
+	if !k.tellOwner(ctx, id, workspace) {
+		k.running.Go(func() { k.keepTelling(id, workspace) })
 	}
 	return nil
 }
 
-// tellOwner tells the owner of a job that it was ended.
-func (k *Keeper) tellOwner(id, workspace string) {
+// keepTelling tells the owner of a job that it was ended, until that succeeds or
+// this instance leaves.
+func (k *Keeper) keepTelling(id, workspace string) {
 	ctx := k.baseContext()
 	for range tellTries {
-		response, refusal := k.askOwner(ctx, jobRequest{Operation: operationEnd, Job: id, Workspace: workspace})
-		if _, owned := k.owned(id); owned || refusal == nil && response.Owned || k.isDone(id) || ctx.Err() != nil {
+		k.sleep(tellPause)
+		if ctx.Err() != nil || k.tellOwner(ctx, id, workspace) {
 			return
 		}
-		k.sleep(tellPause)
 	}
 	k.log(id).Warn("owner not told of the end of its job")
 }
 
+// tellOwner tells the owner of a job that it was ended. It reports whether
+// nobody has to be told any more.
+func (k *Keeper) tellOwner(ctx context.Context, id, workspace string) bool {
+	if _, owned := k.owned(id); owned {
+		return true
+	}
+	response, refusal := k.askOwner(ctx, jobRequest{Operation: operationEnd, Job: id, Workspace: workspace})
+	return refusal == nil && response.Owned || k.isDone(id)
+}
+
 // isDone reports whether every item of a job is listed, as far as is known.
 func (k *Keeper) isDone(id string) bool {
 	c := k.copies.of(id)
--- a/internal/jobkeeper/job.go
+++ b/internal/jobkeeper/job.go
@@ -82,10 +82,11 @@
 func manifestKey(job string, part int) string {
 	return "job/" + job + "/" + strconv.Itoa(part)
 }
-func progressKey(job string) string { return "part/" + job }
-func recordKey(job string) string   { return "run/" + job }
+func progressKey(job string) string   { return "part/" + job }
+func recordKey(job string) string     { return "run/" + job }
+func segmentPrefix(job string) string { return "out/" + job + "/" }
 func segmentKey(job string, n int) string {
-	return "out/" + job + "/" + strconv.Itoa(n)
+	return segmentPrefix(job) + strconv.Itoa(n)
 }
 
 // A job is a job that this instance owns. Its fields below mu are guarded by it.
--- a/internal/jobkeeper/jobkeeper_test.go
+++ b/internal/jobkeeper/jobkeeper_test.go
@@ -1,6 +1,7 @@
 package jobkeeper
 
 import (
+	"context"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -137,14 +138,7 @@
 		submit(t, k1, manifest("i1"))
 		j, ok := k1.owned(jobID)
 		assert.Assert(t, ok)
-		poll.WaitOn(t, func(poll.LogT) poll.Result {
-			j.mu.Lock()
-			defer j.mu.Unlock()
-			if _, events := j.progress(); events != 1 {
-				return poll.Continue("%d events instead of 1", events)
-			}
-			return poll.Success()
-		})
+		awaitEvents(t, j, 1)
 		assert.NilError(t, k1.save(t.Context(), j, 1))
 		r.terms["k1"].set(1, false)
 		r.vanishFirst(t, k2)
@@ -153,6 +147,47 @@
 		assertResults(t, awaitResults(t, k2, 1), StateCompleted, wholeText)
 		assert.Equal(t, r.engines.resumes[0], "1")
 	})
+	t.Run("one heir looks for the jobs", func(t *testing.T) {
+		r := newRig()
+		r.engines.hold = make(chan struct{})
+		k1, k2, k3 := r.keeper(t, "k1"), r.keeper(t, "k2"), r.keeper(t, "k3")
+		submit(t, k1, manifest("i1"))
+		r.terms["k1"].set(1, false)
+		r.vanishFirst(t) // Nobody is told yet.
+		all := []enroller.Member{r.members["k1"], r.members["k2"], r.members["k3"]}
+		for _, k := range []*Keeper{k2, k3} {
+			k.SetMembers(enroller.Membership{Peers: all})
+			k.SetMembers(enroller.Membership{Peers: all[1:]})
+		}
+		assert.Assert(t, k2.inherits("k1") != k3.inherits("k1"))
+		heir := k2
+		if k3.inherits("k1") {
+			heir = k3
+		}
+		awaitOwned(t, heir, true)
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			heir.mu.Lock()
+			defer heir.mu.Unlock()
+			if len(heir.inheritances()) > 0 {
+				return poll.Continue("the jobs of k1 are still to be looked for")
+			}
+			return poll.Success()
+		})
+	})
+	t.Run("the heir vanishes too", func(t *testing.T) {
+		r := newRig()
+		r.engines.hold = make(chan struct{})
+		k1, k2 := r.keeper(t, "k1"), r.keeper(t, "k2")
+		submit(t, k1, manifest("i1"))
+		r.terms["k1"].set(1, false)
+		r.vanishFirst(t)
+		others := []enroller.Member{{ID: "k3"}, {ID: "k4"}, {ID: "k5"}, {ID: "k6"}, {ID: "k7"}}
+		k2.SetMembers(enroller.Membership{Peers: append(others, r.members["k1"])})
+		k2.SetMembers(enroller.Membership{Peers: others})
+		assert.Assert(t, !k2.inherits("k1"))
+		k2.SetMembers(enroller.Membership{})
+		awaitOwned(t, k2, true)
+	})
 	t.Run("the owner is present", func(t *testing.T) {
 		r := newRig()
 		r.engines.hold = make(chan struct{})
@@ -219,6 +254,31 @@
 		defer j.mu.Unlock()
 		assert.Assert(t, j.ended)
 	})
+	t.Run("at an instance that leaves", func(t *testing.T) {
+		r := newRig()
+		r.engines.hold = make(chan struct{})
+		k1, k2 := r.keeper(t, "k1"), r.keeper(t, "k2")
+		submit(t, k1, manifest("i1"))
+		stopped, stop := context.WithCancel(t.Context())
+		stop()
+		k2.mu.Lock()
+		k2.base = stopped
+		k2.mu.Unlock()
+		assert.Assert(t, k2.End(t.Context(), workspace, jobID) == nil)
+		assert.Assert(t, k1.hasEnded(jobID), "the end was acknowledged before the owner was told")
+	})
+	t.Run("the owner is not told", func(t *testing.T) {
+		r := newRig()
+		r.engines.stall = make(chan struct{})
+		k1, k2 := r.keeper(t, "k1"), r.keeper(t, "k2")
+		submit(t, k1, manifest("i1"))
+		j, _ := k1.owned(jobID)
+		awaitEvents(t, j, 1)
+		r.board.isolate("k2")
+		assert.Assert(t, k2.End(t.Context(), workspace, jobID) == nil)
+		assert.ErrorIs(t, k1.save(t.Context(), j, 1), storer.ErrConflict)
+		assert.Assert(t, k1.hasEnded(jobID))
+	})
 }
 
 // TestRead guards against callers that learn of jobs that are not theirs, and
--- a/internal/jobkeeper/keeper.go
+++ b/internal/jobkeeper/keeper.go
@@ -89,6 +89,12 @@
 	enders  map[string]bool // Jobs that were ended, by the keys in the store.
 	// creating holds the jobs whose acceptance is being written.
 	creating map[string]bool
+	// doubted holds the jobs whose acceptance may have been written, though its
+	// answer was lost.
+	doubted map[string]bool
+	// lapsed holds the instances that vanished or leave, and whether this instance
+	// has looked for their jobs since.
+	lapsed map[string]bool
 	// adopted tells since when jobs are this instance's, for those that came lately.
 	adopted map[string]time.Time
 	// verified is the term in which the records of all owned jobs were seen.
@@ -111,6 +117,8 @@
 		enders:  map[string]bool{},
 
 		creating: map[string]bool{},
+		doubted:  map[string]bool{},
+		lapsed:   map[string]bool{},
 		adopted:  map[string]time.Time{},
 	}
 	for i := range k.shards {
@@ -153,22 +161,41 @@
 	return ended
 }
 
-// SetMembers says which instances may own jobs.
+// SetMembers says which instances may own jobs. The jobs of one that vanished or
+// leaves fall to one heir, which looks for them.
 func (k *Keeper) SetMembers(m enroller.Membership) {
 	members := make(map[string]enroller.Member, len(m.Peers))
 	for _, peer := range m.Peers {
 		members[peer.ID] = peer
 	}
 	k.mu.Lock()
-	before := k.members
+	for id, former := range k.members {
+		if now, present := members[id]; !present || now.Leaving && !former.Leaving {
+			k.lapsed[id] = false
+		}
+	}
+	for id, member := range members {
+		if canOwn(member) {
+			delete(k.lapsed, id)
+		}
+	}
 	k.members = members
+	due := len(k.inheritances()) > 0
 	k.mu.Unlock()
-	for id, former := range before {
-		if now, ok := members[id]; !ok || now.Leaving && !former.Leaving {
-			k.askSweep()
-			return
+	if due {
+		k.askSweep()
+	}
+}
+
+// inheritances are the lapsed instances whose jobs fall to this instance and were
+// not looked for yet. The lock is held.
+func (k *Keeper) inheritances() (ids []string) {
+	for id, looked := range k.lapsed {
+		if !looked && k.heir(id) == k.cfg.Self.ID {
+			ids = append(ids, id)
 		}
 	}
+	return ids
 }
 
 func (k *Keeper) askSweep() {
--- a/internal/jobkeeper/ledger.go
+++ b/internal/jobkeeper/ledger.go
@@ -92,7 +92,7 @@
 func (k *Keeper) submitRefusal(m Manifest, err error) *refuser.Refusal {
 	k.log(m.Job).WithError(err).Warn("job not accepted")
 	if errors.Is(err, storer.ErrUnknownEffect) {
-		k.cfg.Clock.AfterFunc(inDoubtTime, k.askSweep)
+		k.doubt(m.Job)
 		return refuser.New(refuser.InDoubt, refuser.Unknown, "it is unknown whether the job was accepted")
 	}
 	refusal := refuser.New(refuser.PlatformUnavailable, refuser.NotRun, "the platform's store cannot be reached")
@@ -100,6 +100,26 @@
 	return refusal
 }
 
+// doubt notes that a job may be this instance's, and finds out when a write whose
+// answer was lost can have no effect any more.
+func (k *Keeper) doubt(id string) {
+	k.mu.Lock()
+	k.doubted[id] = true
+	k.mu.Unlock()
+	k.cfg.Clock.AfterFunc(inDoubtTime, func() {
+		k.mu.Lock()
+		delete(k.doubted, id)
+		k.mu.Unlock()
+		k.askSweep()
+	})
+}
+
+func (k *Keeper) isDoubted(id string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.doubted[id]
+}
+
 func (k *Keeper) readRecord(ctx context.Context, id string) (r Record, version int64, err error) {
 	entry, err := k.cfg.Store.Get(ctx, k.key(recordKey(id)))
 	if err != nil {
@@ -110,13 +130,18 @@
 
 // readResults reads the results of segments from first on.
 func (k *Keeper) readResults(ctx context.Context, id string, first, segments int) (results []Result, err error) {
+	defer func() { err = merry.Prependf(err, "read segments from %d to %d", first, segments) }()
+	values, err := k.readSegments(ctx, id, first, segments)
+	if err != nil {
+		return nil, err
+	}
 	for n := first; n < segments; n++ {
-		entry, err := k.cfg.Store.Get(ctx, k.key(segmentKey(id, n)))
-		if err != nil {
-			return nil, merry.Prependf(err, "read segment %d", n)
+		value, ok := values[k.key(segmentKey(id, n))]
+		if !ok {
+			return nil, merry.Errorf("segment %d is missing", n)
 		}
 		var segment []Result
-		if err := cbor.Unmarshal(entry.Value, &segment); err != nil {
+		if err := cbor.Unmarshal(value, &segment); err != nil {
 			return nil, err
 		}
 		results = append(results, segment...)
@@ -124,6 +149,24 @@
 	return results, nil
 }
 
+// readSegments returns segments by their keys, with one call to the store.
+func (k *Keeper) readSegments(ctx context.Context, id string, first, segments int) (values map[string][]byte, err error) {
+	values = map[string][]byte{}
+	switch segments - first {
+	case 0:
+		return values, nil
+	case 1:
+		entry, err := k.cfg.Store.Get(ctx, k.key(segmentKey(id, first)))
+		values[entry.Key] = entry.Value
+		return values, err
+	}
+	listing, err := k.cfg.Store.List(ctx, k.key(segmentPrefix(id)))
+	for _, entry := range listing.Entries {
+		values[entry.Key] = entry.Value
+	}
+	return values, err
+}
+
 func (k *Keeper) readManifest(ctx context.Context, id string, parts int) (m Manifest, err error) {
 	var data []byte
 	for part := range parts {
--- a/internal/jobkeeper/query.go
+++ b/internal/jobkeeper/query.go
@@ -68,6 +68,19 @@
 	read    int // Segments in results.
 }
 
+// unknown reports whether neither the owner nor the end of the job is known.
+func (c *jobCopy) unknown() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.owner == "" && !c.record.Done
+}
+
+// whole reports whether all results that the job will ever have are here. The
+// lock is held.
+func (c *jobCopy) whole() bool {
+	return c.record.Done && c.read == c.record.Segments
+}
+
 func (c *copies) init() { c.jobs = map[string]*jobCopy{} }
 
 func (c *copies) of(id string) *jobCopy {
@@ -234,24 +247,24 @@
 // that the store has to be asked.
 func (k *Keeper) askOwner(ctx context.Context, q jobRequest) (jobResponse, *refuser.Refusal) {
 	c := k.copies.of(q.Job)
-	c.mu.Lock()
-	owner, done, known := c.owner, c.record.Done, c.owner != ""
-	c.mu.Unlock()
-	if done {
-		return jobResponse{}, nil
-	}
-	if !known {
+	if c.unknown() {
 		read, refusal := k.fresh(ctx, q.Job)
 		if refusal != nil {
 			return jobResponse{}, refusal
 		}
-		read.mu.Lock()
-		owner = read.owner
-		read.mu.Unlock()
+		c = read
 	}
-	if owner == k.cfg.Self.ID {
+	c.mu.Lock()
+	owner, done, whole := c.owner, c.record.Done, c.whole()
+	c.mu.Unlock()
+	switch {
+	case owner == "", whole:
+		return jobResponse{}, nil
+	case owner == k.cfg.Self.ID && !done:
 		k.askSweep() // It is this instance's by a write whose answer was lost, or from before a restart.
 		return jobResponse{}, nil
+	case owner == k.cfg.Self.ID:
+		return jobResponse{}, nil
 	}
 	var response jobResponse
 	callCtx, cancel := context.WithTimeout(ctx, q.Wait+linkMargin)
@@ -278,7 +291,9 @@
 	}
 	j, ok := k.owned(q.Job)
 	if !ok {
-		k.askSweep()
+		if k.isDoubted(q.Job) {
+			k.askSweep()
+		}
 		return linker.Marshal(jobResponse{})
 	}
 	response := jobResponse{Owned: true}
--- a/internal/jobkeeper/rig_test.go
+++ b/internal/jobkeeper/rig_test.go
@@ -37,6 +37,12 @@
 	cut      map[string]bool
 }
 
+func (b *switchboard) isolate(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.cut[id] = true
+}
+
 // A port is one keeper's end of the switchboard.
 type port struct {
 	board *switchboard
@@ -274,6 +280,19 @@
 	return v
 }
 
+// awaitEvents waits until the open items of a job have had a number of events.
+func awaitEvents(t *testing.T, j *job, n int) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		j.mu.Lock()
+		defer j.mu.Unlock()
+		if _, events := j.progress(); events != n {
+			return poll.Continue("%d events instead of %d", events, n)
+		}
+		return poll.Success()
+	})
+}
+
 // awaitOwned waits until a keeper owns the job, or does not any more.
 func awaitOwned(t *testing.T, k *Keeper, want bool) {
 	t.Helper()
--- a/internal/jobkeeper/saver.go
+++ b/internal/jobkeeper/saver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -45,11 +46,18 @@
 		return nil
 	}
 	id := j.manifest.Job
-	t := storer.Transaction{Expect: []storer.Expectation{{Key: k.key(recordKey(id)), Version: version}}}
+	t := storer.Transaction{Expect: []storer.Expectation{
+		{Key: k.key(recordKey(id)), Version: version},
+		{Key: k.cfg.EndPrefix + id},
+	}}
 	if err := k.addProgress(&t, id, saved, false); err != nil {
 		return err
 	}
-	if _, err := k.cfg.Store.Commit(ctx, t); err != nil {
+	_, err = k.cfg.Store.Commit(ctx, t)
+	if errors.Is(err, storer.ErrConflict) {
+		return errors.Join(err, k.readEnd(ctx, id))
+	}
+	if err != nil {
 		return err
 	}
 	j.mu.Lock()
--- a/internal/jobkeeper/sweep.go
+++ b/internal/jobkeeper/sweep.go
@@ -71,6 +71,9 @@
 	case !held:
 		return errNotEnrolled
 	}
+	k.mu.Lock()
+	inherited := k.inheritances()
+	k.mu.Unlock()
 	listing, err := k.cfg.Store.List(ctx, k.key("run/"))
 	if err != nil {
 		return err
@@ -88,7 +91,7 @@
 		}
 		switch {
 		case k.now().Sub(r.SubmittedAt) > k.cfg.Retention:
-			if k.heir(id) == k.cfg.Self.ID {
+			if k.inherits(id) {
 				k.remove(ctx, id, r, entry.Version)
 			}
 		case !r.Done && !k.hasEnded(id) && k.falls(id, r):
@@ -97,9 +100,23 @@
 			}
 		}
 	}
+	if failed == nil {
+		k.noteInherited(inherited)
+	}
 	return failed
 }
 
+// noteInherited remembers that the jobs of lapsed instances were looked for.
+func (k *Keeper) noteInherited(ids []string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, id := range ids {
+		if _, lapsed := k.lapsed[id]; lapsed {
+			k.lapsed[id] = true
+		}
+	}
+}
+
 // dropLost drops the jobs whose records name another owner.
 func (k *Keeper) dropLost(listing storer.Listing) {
 	for _, entry := range listing.Entries {
@@ -137,7 +154,7 @@
 	if present && !owner.Leaving {
 		return false // The owner has started anew and takes its jobs up again.
 	}
-	return k.heir(id) == k.cfg.Self.ID
+	return k.inherits(r.Owner)
 }
 
 func (k *Keeper) isCreating(id string) bool {
@@ -146,11 +163,16 @@
 	return k.creating[id]
 }
 
-// heir is the instance that a job without owner falls to: all instances with
-// the same membership choose the same.
-func (k *Keeper) heir(id string) string {
+// inherits reports whether this instance is the heir of an ID.
+func (k *Keeper) inherits(id string) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	return k.heir(id) == k.cfg.Self.ID
+}
+
+// heir is the instance that what belongs to an ID falls to: all instances with
+// the same membership choose the same. The lock is held.
+func (k *Keeper) heir(id string) string {
 	best, bestHash := k.cfg.Self.ID, xxhash.Sum64String(id+"\x00"+k.cfg.Self.ID)
 	for _, m := range k.members {
 		if h := xxhash.Sum64String(id + "\x00" + m.ID); h > bestHash && canOwn(m) {
