fix: entries divide the servers on which suspects run alone

TestCrashingRequestIsQuarantined/neighbours_end_well was known red: a neighbour was refused with outcome unknown. An entry reserves a server for a suspect against its own requests only, so that two entries could run two suspects on the same one, and its death counted against both. The entries now divide all servers of a pool by name for suspects; where none of an entry's own takes requests it uses any. Ruled out: counting deaths only for requests that ran alone, which lets the crashing request take down a third server.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -67,6 +67,11 @@
 	FailureDomain string
 	Region        string
 	Random        Random
+	// Place is the position of this entry among those that serve, and their
+	// number. The entries divide the servers on which suspects run alone, so that
+	// two suspects of different entries don't run on the same one. Nil for a single
+	// entry.
+	Place func() (index, count int)
 }
 
 // A Router chooses backend servers.
@@ -236,22 +241,47 @@
 	return best
 }
 
-// chooseAlone takes the server with the least load. Suspects are rare, so that
-// a look at all servers does no harm.
+// chooseAlone takes the server with the least load among those that fall to this
+// entry, and among all where none of them takes requests. Suspects are rare, so
+// that a look at all servers does no harm.
 func (r *Router) chooseAlone(pool *registrar.Pool, q Query, d *Decision) {
-	leastLoad := 0
+	mine := r.ownServers(pool)
+	leastLoad, own := 0, false
 	for _, g := range pool.Groups {
 		for _, s := range g.Candidates() {
-			load := s.Load().Total()
-			if excluded(q, s) || (d.Server != nil && load >= leastLoad) {
+			load, isMine := s.Load().Total(), mine[s.Name()]
+			better := d.Server == nil || isMine && !own || isMine == own && load < leastLoad
+			if excluded(q, s) || !better {
 				continue
 			}
 			d.Server, d.Reason, d.FailureDomain = s, ReasonAlone, g.FailureDomain.Name
-			leastLoad = load
+			leastLoad, own = load, isMine
 		}
 	}
 }
 
+// ownServers are this entry's part of all servers of a pool, candidates or not,
+// so that entries with different views of their health agree.
+func (r *Router) ownServers(pool *registrar.Pool) map[string]bool {
+	index, count := 0, 1
+	if r.cfg.Place != nil {
+		index, count = r.cfg.Place()
+	}
+	var names []string
+	for _, g := range pool.Groups {
+		walk := g.Walk(0)
+		for s := walk.Next(); s != nil; s = walk.Next() {
+			names = append(names, s.Name())
+		}
+	}
+	slices.Sort(names)
+	mine := map[string]bool{}
+	for i, name := range slices.Compact(names) {
+		mine[name] = i%count == index
+	}
+	return mine
+}
+
 func excluded(q Query, s *registrar.Server) bool {
 	return slices.Contains(q.Exclude, s.Name())
 }
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -147,6 +147,23 @@
 		assert.Assert(t, server(t, f, "engine-0").Reserve())
 		assertRefused(t, r, f, Query{Alone: true}, ErrNoServer)
 	})
+
+	// Guards against two suspects of different entries on one server, whose death
+	// counts against both.
+	t.Run("entries divide the servers for suspects", func(t *testing.T) {
+		f := newFleet(4, 2)
+		at := func(index int) *Router {
+			return New(Config{FailureDomain: "d0", Region: "north", Place: func() (int, int) { return index, 2 }})
+		}
+		fill(server(t, f, "engine-0"), registrar.Online, 2)
+		fill(server(t, f, "engine-2"), registrar.Online, 1)
+		assert.Equal(t, choose(t, at(0), f, Query{Alone: true}).Server.Name(), "engine-2")
+		assert.Equal(t, choose(t, at(1), f, Query{Alone: true}).Server.Name(), "engine-1")
+		server(t, f, "engine-1").SetHealthy(false)
+		assert.Equal(t, choose(t, at(1), f, Query{Alone: true}).Server.Name(), "engine-3")
+		server(t, f, "engine-3").SetHealthy(false)
+		assert.Equal(t, choose(t, at(1), f, Query{Alone: true}).Server.Name(), "engine-2")
+	})
 }
 
 // Guards against a cost per decision that grows with the fleet.
--- a/internal/runner/variant.go
+++ b/internal/runner/variant.go
@@ -34,7 +34,7 @@
 // variant returns the behaviour that the settings choose. It needs the leaser
 // and the publisher.
 func (e *Entry) variant() (v variant) {
-	place := router.Config{FailureDomain: e.settings.FailureDomain, Region: e.settings.Region}
+	place := router.Config{FailureDomain: e.settings.FailureDomain, Region: e.settings.Region, Place: e.place}
 	v = variant{chooser: router.New(place), admitter: e.parts.leaser.Borrower()}
 	switch e.settings.Experimental.Baseline {
 	case configurer.EqualShares:
@@ -52,6 +52,22 @@
 	return v
 }
 
+// place is the position of this entry among the live ones that do not leave, by
+// their IDs.
+func (e *Entry) place() (index, count int) {
+	count = 1
+	for _, instance := range e.parts.roster.Live() {
+		if instance.ID == e.settings.InstanceID || instance.Leaving {
+			continue
+		}
+		count++
+		if instance.ID < e.settings.InstanceID {
+			index++
+		}
+	}
+	return index, count
+}
+
 // A shareInstaller puts the workspaces of a revision into force in equal
 // shares.
 type shareInstaller struct {
