--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -19,16 +19,16 @@
 
 // Args are the command line arguments of the binary.
 type Args struct {
-	Apply    *ApplyCmd    `arg:"subcommand:apply" help:"put a release note into force"`
-	Check    *CheckCmd    `arg:"subcommand:check" help:"report the faults of settings, declarations and release notes"`
-	Depot    *DepotCmd    `arg:"subcommand:depot" help:"run a process on a machine with a disk of the platform"`
-	Dev      *DevCmd      `arg:"subcommand:dev" help:"run two entries and example backend servers in this process"`
-	Entry    *EntryCmd    `arg:"subcommand:entry" help:"run an entry instance"`
-	Job      *JobCmd      `arg:"subcommand:job" help:"submit, follow and cancel batch jobs"`
-	Key      *KeyCmd      `arg:"subcommand:key" help:"grant and withdraw keys of workspaces"`
-	Resident *ResidentCmd `arg:"subcommand:resident" help:"run an instance on the platform"`
-	Status   *StatusCmd   `arg:"subcommand:status" help:"show the configuration in force and where it is confirmed"`
-	Version  *VersionCmd  `arg:"subcommand:version" help:"print the version"`
+	Apply   *ApplyCmd   `arg:"subcommand:apply" help:"put a release note into force"`
+	Check   *CheckCmd   `arg:"subcommand:check" help:"report the faults of settings, declarations and release notes"`
+	Dev     *DevCmd     `arg:"subcommand:dev" help:"run two entries and example backend servers in this process"`
+	Entry   *EntryCmd   `arg:"subcommand:entry" help:"run an entry instance"`
+	Job     *JobCmd     `arg:"subcommand:job" help:"submit, follow and cancel batch jobs"`
+	Key     *KeyCmd     `arg:"subcommand:key" help:"grant and withdraw keys of workspaces"`
+	Serve   *ServeCmd   `arg:"subcommand:serve" help:"run an instance on the platform"`
+	Status  *StatusCmd  `arg:"subcommand:status" help:"show the configuration in force and where it is confirmed"`
+	Storage *StorageCmd `arg:"subcommand:storage" help:"run a process on a machine with a disk of the platform"`
+	Version *VersionCmd `arg:"subcommand:version" help:"print the version"`
 }
 
 // Description is shown at the top of the help text.
--- a/internal/commander/resident.go
+++ b/internal/commander/onplatform.go
@@ -12,24 +12,6 @@
 	"github.com/quetzalhitch/quetzalhitch/platform"
 )
 
-// A ResidentCmd runs an instance on the platform.
-type ResidentCmd struct {
-	Settings string `arg:"--settings,env:QUETZALHITCH_CONFIG,required" placeholder:"FILE" help:"settings file of the process (TOML)"`
-}
-
-func (c *ResidentCmd) run(stdout, _ io.Writer) error {
-	return runOnPlatform(c.Settings, stdout, platform.RunEntry)
-}
-
-// A DepotCmd runs a process on a machine with a disk of the platform.
-type DepotCmd struct {
-	Settings string `arg:"--settings,env:QUETZALHITCH_CONFIG,required" placeholder:"FILE" help:"settings file of the process (TOML)"`
-}
-
-func (c *DepotCmd) run(stdout, _ io.Writer) error {
-	return runOnPlatform(c.Settings, stdout, platform.RunDepot)
-}
-
 // runOnPlatform reads the settings and runs a role until a signal. Log lines go
 // to standard output and never block.
 func runOnPlatform(path string, stdout io.Writer, role platform.Role) (err error) {
