--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -36,15 +36,17 @@
 	ID        string // Of the caller's attempt; servers repeat it in their answers.
 	Workspace string // Empty on open routes.
 	Route     *steerer.Route
-	Service   string
-	Method    string
-	Host      string
-	Target    string // Path and query, as the caller sent them.
-	Header    []sender.Field
-	Body      []byte
-	Arrived   time.Time
-	Deadline  time.Time // The caller waits no longer, and neither does the operator.
-	After     string    // ID of the last event that the caller had; empty for a request from the start.
+	// Configuration is the version of the policy that gave the route.
+	Configuration int64
+	Service       string
+	Method        string
+	Host          string
+	Target        string // Path and query, as the caller sent them.
+	Header        []sender.Field
+	Body          []byte
+	Arrived       time.Time
+	Deadline      time.Time // The caller waits no longer, and neither does the operator.
+	After         string    // ID of the last event that the caller had; empty for a request from the start.
 }
 
 // digest names the content of the request, whoever sends it again.
--- a/internal/forwarder/report.go
+++ b/internal/forwarder/report.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/sirupsen/logrus"
 
+	"github.com/quetzalhitch/quetzalhitch/internal/balancer"
 	"github.com/quetzalhitch/quetzalhitch/internal/reporter"
 	"github.com/quetzalhitch/quetzalhitch/pkg/refuser"
 )
@@ -15,6 +16,7 @@
 		"request":                   r.q.ID,
 		reporter.FieldRoute:         r.q.Route.Name,
 		reporter.FieldWorkspace:     r.q.Workspace,
+		"configuration":             r.q.Configuration,
 		reporter.FieldBackendServer: r.server,
 		"server-load":               r.load,
 		"attempts":                  r.attempts,
@@ -41,3 +43,17 @@
 	r.f.cfg.Logger.WithFields(fields).Info(message)
 	r.f.instruments.observe(r, refusal, duration)
 }
+
+// reportAttempt writes a line for an attempt that did not answer the request.
+func (r *run) reportAttempt(outcome balancer.Outcome) {
+	r.f.cfg.Logger.WithFields(logrus.Fields{
+		"request":                   r.q.ID,
+		reporter.FieldBackendServer: r.server,
+		"server-load":               r.load,
+		"attempts":                  r.attempts,
+		"refused-tries":             r.refused,
+		"last-failure":              r.cause,
+		"outcome":                   outcome,
+		"after-ms":                  r.now().Sub(r.q.Arrived).Milliseconds(),
+	}).Info("attempt failed")
+}
--- a/internal/forwarder/run.go
+++ b/internal/forwarder/run.go
@@ -241,6 +241,7 @@
 
 // exclude ends the placement and leaves its server out of later choices.
 func (r *run) exclude(outcome balancer.Outcome) {
+	r.reportAttempt(outcome)
 	r.tried = append(r.tried, r.server)
 	r.release(outcome)
 }
