fix: restarts of the whole fleet give a workspace one start's tokens, and unknown peers tell how old copies are

All instances were killed twice within three seconds, and each start assumes 0.6 of the burst. The entry of an instance in the store names when it started; an instance whose incarnation before started less than five seconds earlier assumes no tokens, and it enrolls only after it has seen that entry. The tokens of a start are bounded by the users' tolerance, which a burst far above the rate had passed with one restart.

Reports of unknown instances now tell at least how old the copies are.

--- a/internal/apportioner/account.go
+++ b/internal/apportioner/account.go
@@ -30,12 +30,22 @@
 	joined   int // How often the peer had been heard after a silence.
 }
 
-func newAccount(c Contract, st standing, now time.Time) *account {
-	a := &account{contract: c, group: st.group, level: startLevel * c.Burst * st.group, updated: now, peers: map[string]peerUsage{}}
+func newAccount(c Contract, st standing, now time.Time, empty bool) *account {
+	a := &account{contract: c, group: st.group, level: c.startLevel() * st.group, updated: now, peers: map[string]peerUsage{}}
+	if empty {
+		a.level = 0
+	}
 	a.own = a.level * a.share(st, now)
 	return a
 }
 
+// startLevel is the number of tokens that all instances together assume to be
+// left when they start anew.
+func (c Contract) startLevel() float64 {
+	tolerated := toleratedPart*(c.Rate*toleranceWindow.Seconds()+c.Burst) + toleratedRequests
+	return min(maxStartLevel*c.Burst, startTolerance*tolerated)
+}
+
 // change takes over a new contract. A lower burst binds at once.
 func (a *account) change(c Contract, st standing, now time.Time) {
 	a.advance(st, now)
@@ -135,15 +145,22 @@
 // learn counts what a peer admitted since its last report. What it admitted
 // while it was not heard came from its own part, so that the first report after a
 // silence only says where to count from.
-func (a *account) learn(id string, u Usage, joined int, st standing, now time.Time) {
+func (a *account) learn(id string, u Usage, joined int, justHeard bool, st standing, now time.Time) {
 	a.advance(st, now)
 	last, known := a.peers[id]
 	switch {
 	case joined == 0:
 		return // No instance that admits requests.
-	case known && last.joined != joined, !a.informed:
+	case known && last.joined != joined, !a.informed && justHeard:
 		a.level = min(max(float64(u.Level), a.level), a.contract.Burst*st.group)
 		a.informed = true
+	case !a.informed:
+		// Each level lacks what the other instance admitted since they heard of each
+		// other.
+		own := a.level - min(float64(u.Admitted), float64(u.Demand))
+		theirs := float64(u.Level) - min(float64(a.admitted), a.demand)
+		a.level = min(max(own, theirs), a.contract.Burst*st.group)
+		a.informed = true
 	case !known || u.Admitted < last.admitted:
 		// The peer admitted nothing of the workspace lately, or started anew.
 		a.level -= min(float64(u.Admitted), float64(u.Demand))
--- a/internal/apportioner/apportioner.go
+++ b/internal/apportioner/apportioner.go
@@ -23,9 +23,19 @@
 	// heardWithin is the silence after which a peer counts as cut off. It is
 	// four reports.
 	heardWithin = 700 * time.Millisecond
-	// startLevel is the part of the burst that a new instance assumes to be
+	// maxStartLevel is the part of the burst that a new instance assumes to be
 	// left before it has heard of it.
-	startLevel = 0.6
+	maxStartLevel = 0.6
+	// toleratedPart and toleratedRequests are what may be admitted beyond rate and
+	// burst in toleranceWindow, by the users' bounds: a part of both, and some
+	// requests.
+	toleratedPart     = 0.1
+	toleratedRequests = 20
+	toleranceWindow   = 5 * time.Second
+	// startTolerance is the part of the tolerance that all instances together may
+	// take up when they start anew, since what they had admitted is forgotten. The
+	// rest is for reports that come late.
+	startTolerance = 0.7
 	// demandMemory is the time over which demand is averaged. It is shorter than
 	// the bursts of a second or two that traffic comes in.
 	demandMemory = time.Second
@@ -86,6 +96,7 @@
 	mu      sync.RWMutex
 	members int              // Instances that admit requests, this one included; at least 1.
 	heard   map[string]*peer // By instance ID.
+	empty   bool             // New buckets start empty.
 }
 
 // A peer is another instance that admits requests.
@@ -117,6 +128,9 @@
 	now := a.clock.Now()
 	standing := a.standing(now)
 	known := make(map[string]bool, len(contracts))
+	a.mu.RLock()
+	empty := a.empty
+	a.mu.RUnlock()
 	for _, c := range contracts {
 		known[c.Workspace] = true
 		s := a.shard(c.Workspace)
@@ -124,7 +138,7 @@
 		if acc, ok := s.accounts[c.Workspace]; ok {
 			acc.change(c, standing, now)
 		} else {
-			s.accounts[c.Workspace] = newAccount(c, standing, now)
+			s.accounts[c.Workspace] = newAccount(c, standing, now, empty)
 		}
 		s.mu.Unlock()
 	}
@@ -143,6 +157,32 @@
 	}
 }
 
+// Restarted says how long before this instance its incarnation before had started.
+// Both together may assume the tokens of one start only.
+func (a *Apportioner) Restarted(after time.Duration) {
+	if after >= toleranceWindow {
+		return
+	}
+	a.mu.Lock()
+	first := !a.empty
+	a.empty = true
+	a.mu.Unlock()
+	if !first {
+		return
+	}
+	for i := range a.shards {
+		a.shards[i].empty()
+	}
+}
+
+func (s *shard) empty() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, acc := range s.accounts {
+		acc.level, acc.own = min(acc.level, 0), 0
+	}
+}
+
 // SetMembers says which other instances admit requests.
 func (a *Apportioner) SetMembers(peers []string) {
 	a.mu.Lock()
@@ -214,13 +254,13 @@
 // Learn takes over the report of a peer. What it does not name has not changed.
 func (a *Apportioner) Learn(id string, usages []Usage) {
 	now := a.clock.Now()
-	joined := a.hear(id, now)
+	joined, justHeard := a.hear(id, now)
 	standing := a.standing(now)
 	for _, u := range usages {
 		s := a.shard(u.Workspace)
 		s.mu.Lock()
 		if acc, ok := s.accounts[u.Workspace]; ok {
-			acc.learn(id, u, joined, standing, now)
+			acc.learn(id, u, joined, justHeard, standing, now)
 		}
 		s.mu.Unlock()
 	}
@@ -229,19 +269,21 @@
 	}
 }
 
-// hear notes a report and returns how often the peer was heard after a silence.
-func (a *Apportioner) hear(id string, now time.Time) (joined int) {
+// hear notes a report and returns how often the peer was heard after a silence,
+// and whether it is so just now.
+func (a *Apportioner) hear(id string, now time.Time) (joined int, justHeard bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	p, member := a.heard[id]
 	if !member {
-		return 0
+		return 0, false
 	}
-	if p.joined == 0 || now.Sub(p.at) >= heardWithin {
+	justHeard = p.joined == 0 || now.Sub(p.at) >= heardWithin
+	if justHeard {
 		p.joined++
 	}
 	p.at = now
-	return p.joined
+	return p.joined, justHeard
 }
 
 // grant lets the workspaces that sent requests lately use what is left.
--- a/internal/apportioner/apportioner_test.go
+++ b/internal/apportioner/apportioner_test.go
@@ -178,6 +178,34 @@
 	assert.Equal(t, admitted, offered)
 }
 
+// TestRestarts guards against a workspace that gets a new burst with each restart
+// of the whole fleet (soak, seed 34: 153 requests in five seconds, 152 are
+// allowed).
+func TestRestarts(t *testing.T) {
+	for _, contract := range []Contract{
+		{Workspace: workspace, Rate: 60, Burst: 60},
+		{Workspace: workspace, Rate: 20, Burst: 20},
+		{Workspace: workspace, Rate: 5, Burst: 60},
+	} {
+		f := newFleet(3, contract.Rate, contract.Burst)
+		load := []float64{100, 100, 100}
+		f.run(10*time.Second, []float64{1, 1, 1})
+		startedAt := f.clock.Now().Add(-10 * time.Second)
+		admitted := f.run(time.Second, load)
+		for range 2 {
+			for i := range f.instances {
+				f.instances[i] = New(f.clock)
+				f.instances[i].Install([]Contract{contract}) // May be known before the members.
+				f.instances[i].Restarted(f.clock.Now().Sub(startedAt))
+				f.instances[i].SetMembers(f.others(i))
+			}
+			startedAt = f.clock.Now()
+			admitted += f.run(2*time.Second, load)
+		}
+		assertBetween(t, admitted, 0, allowance(contract.Rate, contract.Burst))
+	}
+}
+
 // TestRestart guards against an instance that starts anew and takes what its
 // peers admitted before for use of the present burst.
 func TestRestart(t *testing.T) {
--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -32,6 +32,9 @@
 	// reservedTime is how long the part of an instance that vanished without
 	// leaving is kept for it: it may be cut off and still serve its callers.
 	reservedTime = 12 * time.Second
+	// followPeriod is the pause before this instance looks again whether it knows
+	// the entries of all.
+	followPeriod = 30 * time.Millisecond
 	// HoldRemovals is how long an instance whose lease ended while the store
 	// was away may take to enroll again.
 	HoldRemovals = 3 * time.Second
@@ -43,7 +46,8 @@
 	Incarnation   string `cbor:"incarnation"` // Drawn anew at each start.
 	LinkAddress   string `cbor:"link-address"`
 	FailureDomain string `cbor:"failure-domain"`
-	Leaving       bool   `cbor:"leaving"` // It hands over what it holds.
+	Leaving       bool   `cbor:"leaving"`    // It hands over what it holds.
+	StartedMs     int64  `cbor:"started-ms"` // Unix time at the start of the incarnation.
 }
 
 // A Store is the part of the platform's store that an enroller needs.
@@ -71,6 +75,9 @@
 	// from the store only, so that links to them and a part of all contracts are
 	// kept while they are heard, and for a while after.
 	Absent []Member
+	// Former is the entry of this instance's incarnation before; nil if there was
+	// none when the entries were seen first.
+	Former *Member
 }
 
 // An Enroller holds this instance's entry.
@@ -79,6 +86,8 @@
 
 	mu         sync.Mutex
 	self       Member
+	followed   bool    // The entries of all were seen.
+	former     *Member // See Membership.
 	lease      storer.Lease
 	enrolled   bool
 	term       int // Enrollments so far.
@@ -121,8 +130,11 @@
 func (e *Enroller) step(ctx context.Context) time.Duration {
 	e.expire()
 	e.mu.Lock()
-	lease, enrolled := e.lease, e.enrolled
+	lease, enrolled, followed := e.lease, e.enrolled, e.followed
 	e.mu.Unlock()
+	if !followed {
+		return followPeriod // The own entry would replace the one of the incarnation before.
+	}
 	if enrolled {
 		renewed, err := e.cfg.Store.RenewLease(ctx, lease)
 		switch {
@@ -216,11 +228,15 @@
 			continue
 		}
 		present[m.ID] = true
+		if m.ID == e.cfg.Self.ID && m.Incarnation != e.cfg.Self.Incarnation && !e.followed {
+			e.former = &m
+		}
 		if m.ID != e.cfg.Self.ID {
 			e.peers[m.ID] = m
 			delete(e.absent, m.ID)
 		}
 	}
+	e.followed = true
 	for id, m := range e.peers {
 		if present[id] {
 			continue
@@ -273,7 +289,7 @@
 func (e *Enroller) Membership() Membership {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	m := Membership{}
+	m := Membership{Former: e.former}
 	for _, peer := range e.peers {
 		m.Peers = append(m.Peers, peer)
 	}
--- a/internal/enroller/enroller_test.go
+++ b/internal/enroller/enroller_test.go
@@ -42,6 +42,7 @@
 			r.last = m
 		},
 	})
+	r.e.Follow(follower.Copy{})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := r.e.Start(ctx)
 	var once sync.Once
@@ -141,3 +142,26 @@
 		assertMembership(t, r.follow(t), 1, 0)
 	})
 }
+
+// TestFormer guards against an instance that overwrites the entry of its
+// incarnation before without having seen it.
+func TestFormer(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	store := storeemulator.New(clock)
+	var last Membership
+	e := New(Config{
+		Self: Member{ID: "a", Incarnation: "a2"}, Prefix: prefix, Store: store, Clock: clock, Logger: logger,
+		Changed: func(m Membership) { last = m },
+	})
+	assert.Equal(t, e.step(t.Context()), followPeriod)
+	value, err := encode(Member{ID: "a", Incarnation: "a1", StartedMs: clock.Now().UnixMilli()})
+	assert.NilError(t, err)
+	e.Follow(follower.Copy{Entries: []storer.Entry{{Key: prefix + "a", Value: value}}})
+	assert.Equal(t, last.Former.Incarnation, "a1")
+	assert.Equal(t, last.Former.StartedMs, clock.Now().UnixMilli())
+	assert.Equal(t, e.step(t.Context()), renewPeriod)
+	e.Follow(follower.Copy{})
+	assert.Equal(t, last.Former.Incarnation, "a1")
+}
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -245,7 +245,12 @@
 	}
 }
 
+// learn takes over a report. That of an instance that is not known yet tells at
+// least that the copies here may be old.
 func (g *Gossiper) learn(id string, r Report) {
+	for name, source := range g.cfg.Sources {
+		source.Observe(r.Changes[name])
+	}
 	g.mu.Lock()
 	p := g.peers[id]
 	if p == nil || p.incarnation == r.Incarnation && r.Number <= p.number {
@@ -264,9 +269,6 @@
 	g.cfg.Balancer.SetPeerLoads(id, r.Loads)
 	g.cfg.Quotas.Learn(id, r.Usages)
 	g.cfg.Owners.LearnOwner(id, r.Jobs)
-	for name, source := range g.cfg.Sources {
-		source.Observe(r.Changes[name])
-	}
 	g.fetchNewer(id, r.Versions)
 }
 
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -12,6 +12,7 @@
 	"github.com/quetzalhitch/quetzalhitch/internal/apportioner"
 	"github.com/quetzalhitch/quetzalhitch/internal/balancer"
 	"github.com/quetzalhitch/quetzalhitch/internal/enroller"
+	"github.com/quetzalhitch/quetzalhitch/internal/follower"
 	"github.com/quetzalhitch/quetzalhitch/internal/linker"
 )
 
@@ -33,8 +34,19 @@
 func (noOwners) NewJobs() []string           { return nil }
 func (noOwners) LearnOwner(string, []string) {}
 
+// A heldSource is a copy that notes what peers know of it.
+type heldSource struct{ observed int64 }
+
+func (*heldSource) Copy() follower.Copy       { return follower.Copy{} }
+func (*heldSource) Offer(follower.Copy) bool  { return false }
+func (*heldSource) Version() int64            { return 1 }
+func (*heldSource) ChangedAt() int64          { return 1 }
+func (*heldSource) Connected() bool           { return true }
+func (s *heldSource) Observe(changedAt int64) { s.observed = changedAt }
+
 type rig struct {
 	g        *Gossiper
+	source   *heldSource
 	balancer *balancer.Balancer
 	quotas   *apportioner.Apportioner
 }
@@ -43,13 +55,14 @@
 	clock := clockwork.NewFakeClock()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	r := &rig{balancer: balancer.New(balancer.Config{Clock: clock, Logger: logger}), quotas: apportioner.New(clock)}
+	r := &rig{source: &heldSource{}, balancer: balancer.New(balancer.Config{Clock: clock, Logger: logger}), quotas: apportioner.New(clock)}
 	r.balancer.Install([]balancer.Backend{{ID: "s1", Service: service, Slots: 4}})
 	r.quotas.Install([]apportioner.Contract{{Workspace: workspace, Rate: 1, Burst: 1000}})
 	r.quotas.SetMembers([]string{"b"})
 	r.g = New(Config{
 		Self: enroller.Member{ID: "a", Incarnation: "a1"}, Links: noLinks{}, Balancer: r.balancer, Quotas: r.quotas,
 		Heard: func(string) {}, Owners: noOwners{}, Clock: clock, Logger: logger,
+		Sources: map[string]Source{"members": r.source},
 	})
 	r.g.SetPeers([]string{"b"})
 	return r
@@ -93,6 +106,13 @@
 		r.hear(t, "b2", 1, 0, 1)
 		assertLoad(t, r, 0)
 	})
+	// Guards against an instance whose watch of the members hangs from the start:
+	// it knew no peer, and so learned from none that its copies were old (soak,
+	// seed 1).
+	t.Run("an unknown instance tells how old the copies are", func(t *testing.T) {
+		r.g.learn("c", Report{Changes: map[string]int64{"members": 7}})
+		assert.Equal(t, r.source.observed, int64(7))
+	})
 	t.Run("a stranger is passed over", func(t *testing.T) {
 		r.g.learn("c", Report{Loads: []balancer.ServerLoad{{Server: "s1", Load: balancer.Load{Online: 4}}}})
 		assertLoad(t, r, 0)
