feat: items of jobs that are due within 12 s take places that are left free otherwise

Items that are due within 12 s now leave one slot free at home servers, and go to others up to 0.7 of their slots instead of 0.4. Online work still displaces the newest item at once.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -136,6 +136,7 @@
 	Class   Class
 	Exclude []string      // IDs of servers that were tried already.
 	MaxWait time.Duration // Longest expected wait for a place; beyond it the fleet counts as full.
+	Urgent  bool          // Batch work that is due soon.
 }
 
 // Acquire chooses a server and counts the work on it. The error wraps
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -206,6 +206,16 @@
 		r.acquire(t, Batch)
 		assertRefused(t, r, Batch, ErrFull)
 	})
+	// Guards against jobs that end late beside servers with free slots.
+	t.Run("what is due soon leaves one slot free", func(t *testing.T) {
+		r := newRig("a")
+		for range 3 {
+			_, err := r.b.Acquire(Query{Service: service, Class: Batch, Urgent: true})
+			assert.NilError(t, err)
+		}
+		_, err := r.b.Acquire(Query{Service: service, Class: Batch, Urgent: true})
+		assert.ErrorIs(t, err, ErrFull)
+	})
 	t.Run("the newest is displaced where online work fills the server", func(t *testing.T) {
 		r := newRig("a")
 		older, newer := r.acquire(t, Batch), r.acquire(t, Batch)
--- a/internal/balancer/pool.go
+++ b/internal/balancer/pool.go
@@ -27,6 +27,10 @@
 	// awayBatchLoad is the part of its slots up to which a server that is not home
 	// takes batch work.
 	awayBatchLoad = 0.4
+	// urgentReserve and urgentAwayLoad hold in place of batchReserve and
+	// awayBatchLoad for batch work that is due soon.
+	urgentReserve  = 1
+	urgentAwayLoad = 0.7
 	// batchReserve is the number of slots of a server that batch work leaves
 	// free, so that an online request finds a place without a wait.
 	batchReserve = 2
@@ -134,7 +138,7 @@
 		defer p.mu.Unlock()
 		return nil, ErrNoServer
 	}
-	if q.Class == Batch && !s.takesBatch() || q.Class == Online && p.expectedWait(s) > q.MaxWait {
+	if q.Class == Batch && !s.takesBatch(q.Urgent) || q.Class == Online && p.expectedWait(s) > q.MaxWait {
 		defer p.mu.Unlock()
 		return nil, ErrFull
 	}
@@ -263,11 +267,15 @@
 }
 
 // takesBatch reports whether the server has room for batch work.
-func (s *server) takesBatch() bool {
+func (s *server) takesBatch(urgent bool) bool {
+	reserve, awayLoad := batchReserve, awayBatchLoad
+	if urgent {
+		reserve, awayLoad = urgentReserve, urgentAwayLoad
+	}
 	if s.home {
-		return s.load() < s.Slots-batchReserve
+		return s.load() < s.Slots-reserve
 	}
-	return float64(s.load()) < awayBatchLoad*float64(s.Slots)
+	return float64(s.load()) < awayLoad*float64(s.Slots)
 }
 
 // expectedWait is the time until the server has a place for one more online
--- a/internal/jobkeeper/jobkeeper_test.go
+++ b/internal/jobkeeper/jobkeeper_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
@@ -315,3 +316,19 @@
 		assert.Equal(t, refusal.Code, refuser.PlatformUnavailable)
 	})
 }
+
+// TestUrgent guards against items that take the slots that are left free for
+// online work too soon, or when it is too late.
+func TestUrgent(t *testing.T) {
+	r := newRig()
+	k := r.keeper(t, "k1")
+	urgent := func(age time.Duration) bool {
+		m := manifest("i1")
+		m.SubmittedAt = time.Now().Add(-age)
+		return k.urgent(&work{job: &job{manifest: m}})
+	}
+	const due = time.Minute // See rig.
+	assert.Assert(t, !urgent(due-urgentTime-time.Second))
+	assert.Assert(t, urgent(due-urgentTime+time.Second))
+	assert.Assert(t, !urgent(due))
+}
--- a/internal/jobkeeper/pump.go
+++ b/internal/jobkeeper/pump.go
@@ -15,6 +15,11 @@
 // work of other instances ends without a sign here.
 const roomWait = 100 * time.Millisecond
 
+// urgentTime is the time before the end of a job in which its items take places
+// that are otherwise left free for online work. An item runs for some seven
+// seconds.
+const urgentTime = 12 * time.Second
+
 // pumps hold a queue of items for each service.
 type pumps struct {
 	keeper *Keeper
@@ -126,7 +131,7 @@
 		if w.isStopped() || p.keeper.isLeaving() {
 			continue
 		}
-		placement := p.place(ctx)
+		placement := p.place(ctx, w)
 		if placement == nil {
 			p.drain()
 			return
@@ -144,10 +149,10 @@
 }
 
 // place waits for a server with room. It returns nil when the keeper ends.
-func (p *pump) place(ctx context.Context) *balancer.Placement {
+func (p *pump) place(ctx context.Context, w *work) *balancer.Placement {
 	for ctx.Err() == nil {
 		room := p.keeper.cfg.Placer.WaitRoom(p.service)
-		placement, err := p.keeper.cfg.Placer.Acquire(balancer.Query{Service: p.service, Class: balancer.Batch})
+		placement, err := p.keeper.cfg.Placer.Acquire(balancer.Query{Service: p.service, Class: balancer.Batch, Urgent: p.keeper.urgent(w)})
 		if err == nil {
 			return placement
 		}
@@ -156,6 +161,17 @@
 	return nil
 }
 
+// urgent reports whether the results of an item are due within urgentTime, and
+// are not late yet.
+func (k *Keeper) urgent(w *work) bool {
+	due, ok := k.dueAt(w.job.manifest)
+	if !ok {
+		return false
+	}
+	left := due.Sub(k.now())
+	return left > 0 && left < urgentTime
+}
+
 func (p *pump) runOne(ctx context.Context, w *work, placement *balancer.Placement) {
 	k := p.keeper
 	route, known := k.route(w.job.manifest)
