fix: sums of cells do not fall when a speaker is silent, and the load of the rest is forgotten

What a silent speaker's cell had admitted left the sum, and so did what the summing instance had admitted of a workspace without requests lately; a sum that falls is taken for a restart and counts a second's demand again. The load of the rest of the fleet counted for ever once nobody told it any more.

--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -118,6 +118,8 @@
 	mu       sync.Mutex
 	cell     enroller.Cell
 	peers    map[string]*peer // By instance ID.
+	own      peer             // What this instance told, for the sum of its cell.
+	restAt   time.Time        // When the rest of a large fleet was heard of last; zero when its load is not counted.
 	fetching map[string]bool  // Names of copies that are being fetched.
 	number   uint64           // Of the last report.
 	base     context.Context  // Of all exchanges; nil before Start.
@@ -212,13 +214,17 @@
 			silent = append(silent, id)
 		}
 	}
+	if !g.restAt.IsZero() && now.Sub(g.restAt) > loadLifetime {
+		g.restAt = time.Time{}
+		silent = append(silent, restID)
+	}
 	g.mu.Unlock()
 	for _, id := range silent {
 		g.cfg.Balancer.ForgetPeer(id)
 		g.cfg.Logger.WithField("peer", id).Warn("peer is silent, its load is not counted any more")
 	}
 	if cell := g.Cell(); len(cell.Others) > 0 {
-		g.learnRest(g.summarize(g.firstSpeakers(cell.Others), nil))
+		g.learnRest(g.summarize(g.firstSpeakers(cell.Others), Summary{}))
 	}
 	if len(calls) > 0 {
 		report := g.report()
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -47,6 +47,7 @@
 type rig struct {
 	g        *Gossiper
 	source   *heldSource
+	clock    *clockwork.FakeClock
 	balancer *balancer.Balancer
 	quotas   *apportioner.Apportioner
 }
@@ -55,7 +56,7 @@
 	clock := clockwork.NewFakeClock()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	r := &rig{source: &heldSource{}, balancer: balancer.New(balancer.Config{Clock: clock, Logger: logger}), quotas: apportioner.New(clock)}
+	r := &rig{clock: clock, source: &heldSource{}, balancer: balancer.New(balancer.Config{Clock: clock, Logger: logger}), quotas: apportioner.New(clock)}
 	r.balancer.Install([]balancer.Backend{{ID: "s1", Service: service, Slots: 4}})
 	r.quotas.Install([]apportioner.Contract{{Workspace: workspace, Rate: 1, Burst: 1000}})
 	r.quotas.SetMembers([]string{"b"})
--- a/internal/gossiper/rest.go
+++ b/internal/gossiper/rest.go
@@ -1,6 +1,7 @@
 package gossiper
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -18,10 +19,10 @@
 	Usages    []apportioner.Usage   `cbor:"usages"`
 }
 
-// summarize adds up the last reports of peers, and a report of this instance
-// where there is one. What peers that are silent had admitted still counts, so
+// summarize adds up the last reports of peers, and what this instance told where
+// that belongs to the sum. What peers that are silent had admitted still counts, so
 // that sums do not fall. Levels are left out: they are older than the sums.
-func (g *Gossiper) summarize(ids []string, own *Report) Summary {
+func (g *Gossiper) summarize(ids []string, own Summary) Summary {
 	now := g.cfg.Clock.Now()
 	loads := map[string]balancer.Load{}
 	usages := map[string]apportioner.Usage{}
@@ -54,9 +55,7 @@
 		}
 	}
 	g.mu.Unlock()
-	if own != nil {
-		add(Summary{Instances: 1, Loads: own.Loads, Usages: own.Usages}, true)
-	}
+	add(own, true)
 	for server, load := range loads {
 		s.Loads = append(s.Loads, balancer.ServerLoad{Server: server, Load: load})
 	}
@@ -88,35 +87,47 @@
 	cell := g.Cell()
 	switch {
 	case slices.Contains(cell.Others, peer):
-		sum := g.summarize(cell.Members, r)
+		g.mu.Lock()
+		g.own.keep(*r)
+		own := g.own.told
+		g.mu.Unlock()
+		sum := g.summarize(cell.Members, own)
 		r.Cell = &sum
 	case len(cell.Others) > 0:
-		sum := g.summarize(g.firstSpeakers(cell.Others), nil)
+		sum := g.summarize(g.firstSpeakers(cell.Others), Summary{})
 		r.Rest = &sum
 	}
 }
 
-// firstSpeakers are those of other cells' speakers that are to be counted: the
-// first one of each cell that was heard lately.
-func (g *Gossiper) firstSpeakers(speakers []string) (first []string) {
+// firstSpeakers are those of other cells' speakers that are to be counted: of each
+// cell the first one that was heard lately, or the first one that ever was.
+func (g *Gossiper) firstSpeakers(speakers []string) []string {
 	now := g.cfg.Clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	counted := map[string]bool{}
+	heard, known := map[string]string{}, map[string]string{} // By cell.
 	for _, id := range speakers {
 		p := g.peers[id]
-		if p == nil || counted[p.cell] || now.Sub(p.heardAt) >= followsWithin {
+		if p == nil || p.told.Instances == 0 {
 			continue
 		}
-		counted[p.cell] = true
-		first = append(first, id)
+		if known[p.cell] == "" {
+			known[p.cell] = id
+		}
+		if heard[p.cell] == "" && now.Sub(p.heardAt) < followsWithin {
+			heard[p.cell] = id
+		}
 	}
-	return first
+	maps.Copy(known, heard)
+	return slices.Collect(maps.Values(known))
 }
 
 // learnRest takes over what a speaker of the own cell tells of the rest of the
 // fleet, or what a speaker learned itself.
 func (g *Gossiper) learnRest(s Summary) {
+	g.mu.Lock()
+	g.restAt = g.cfg.Clock.Now()
+	g.mu.Unlock()
 	g.cfg.Balancer.SetPeerLoads(restID, s.Loads)
 	g.cfg.Quotas.LearnRest(s.Instances, s.Usages)
 }
--- a/internal/gossiper/rest_test.go
+++ b/internal/gossiper/rest_test.go
@@ -137,3 +137,15 @@
 		}
 	}
 }
+
+// TestRestIsForgotten guards against the load of other cells that counts for ever
+// after their speakers have fallen silent.
+func TestRestIsForgotten(t *testing.T) {
+	r := newRig()
+	r.g.learnRest(Summary{Instances: 3, Loads: []balancer.ServerLoad{{Server: "s1", Load: balancer.Load{Online: 2}}}})
+	assertLoad(t, r, 2)
+	r.clock.Advance(loadLifetime + time.Millisecond)
+	r.g.round(t.Context())
+	r.g.group.Wait()
+	assertLoad(t, r, 0)
+}
