fix: a peer that is behind does not hide one that is ahead

A follower now compares itself with the highest version that any peer has told. TestSilentWatch failed first.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -81,12 +81,14 @@
 	version    int64 // Of the store; zero before the first listing.
 	changedAt  int64 // Version of the last change below the prefix that is known.
 	connected  bool
-	away       bool                 // The store was lost and has not been listed since.
-	returnedAt time.Time            // When the store came back last; zero before the first loss.
-	behind     time.Time            // Since when a peer has known of a later change; zero while none does.
-	cut        context.CancelFunc   // Ends the watch under way; nil between watches.
-	held       map[string]time.Time // Keys that are removed at a time.
-	delegating bool                 // The copy comes from a peer by choice.
+	away       bool      // The store was lost and has not been listed since.
+	returnedAt time.Time // When the store came back last; zero before the first loss.
+	// peersChangedAt is the highest version of a change that a peer has known of.
+	peersChangedAt int64
+	behind         time.Time            // Since when a peer has known of a later change; zero while none does.
+	cut            context.CancelFunc   // Ends the watch under way; nil between watches.
+	held           map[string]time.Time // Keys that are removed at a time.
+	delegating     bool                 // The copy comes from a peer by choice.
 
 	notify sync.Mutex // Held during Changed, so that calls come in order.
 }
@@ -186,8 +188,9 @@
 func (f *Follower) Observe(changedAt int64) {
 	f.mu.Lock()
 	now := f.cfg.Clock.Now()
+	f.peersChangedAt = max(f.peersChangedAt, changedAt)
 	switch {
-	case !f.connected || f.delegating || changedAt <= f.version:
+	case !f.connected || f.delegating || f.peersChangedAt <= f.version:
 		f.behind = time.Time{}
 	case f.behind.IsZero():
 		f.behind = now
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -218,6 +218,7 @@
 	began := clock.Now()
 	for len(r.f.Copy().Entries) != 2 && clock.Since(began) < 5*time.Second {
 		r.f.Observe(listing.Version)
+		r.f.Observe(0) // Of a peer whose watch hangs too (soak, seed 51).
 		time.Sleep(20 * time.Millisecond)
 	}
 	took := clock.Since(began)
