feat: log lines tell a silent link from a slow peer

The lines could not tell a connection that is dead from a peer that answers late, and did not say how far behind an instance was. The first call without an answer on a connection is logged with its wait, the packets that arrived meanwhile, the smoothed round trip and whether the connection was closed; a failed fetch of a copy with both versions and its wait.

--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -407,7 +407,7 @@
 		if source.Connected() || versions[name] <= source.Version() || !g.beginFetch(name) {
 			continue
 		}
-		g.group.Go(func() { g.fetch(id, name, source) })
+		g.group.Go(func() { g.fetch(id, name, source, versions[name]) })
 	}
 }
 
@@ -421,7 +421,8 @@
 	return true
 }
 
-func (g *Gossiper) fetch(id, name string, source Source) {
+func (g *Gossiper) fetch(id, name string, source Source, peerVersion int64) {
+	started := g.cfg.Clock.Now()
 	defer func() {
 		g.mu.Lock()
 		delete(g.fetching, name)
@@ -431,7 +432,9 @@
 	defer cancel()
 	var c follower.Snapshot
 	if err := g.cfg.Links.Call(ctx, id, linker.KindCopy, copyRequest{Name: name}, &c); err != nil {
-		g.cfg.Logger.WithError(err).WithFields(logrus.Fields{"peer": id, "copy": name}).Warn("failed to fetch copy from peer")
+		g.cfg.Logger.WithError(err).WithFields(logrus.Fields{
+			"peer": id, "copy": name, "version": source.Version(), "peer-version": peerVersion, "waited-ms": g.cfg.Clock.Now().Sub(started).Milliseconds(),
+		}).Warn("failed to fetch copy from peer")
 		return
 	}
 	source.OfferSnapshot(c)
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -10,6 +10,7 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/quic-go/quic-go"
+	"github.com/sirupsen/logrus"
 
 	"github.com/quetzalhitch/quetzalhitch/internal/registrar"
 )
@@ -29,6 +30,7 @@
 	conn       *quic.Conn   // Nil when there is none.
 	pending    *pendingDial // Nil when no dial is in flight; all callers share it.
 	nextDialAt time.Time    // Earliest time of the next dial; set after failures.
+	unanswered *quic.Conn   // The last connection on which a call without an answer was logged.
 	closed     bool
 }
 
@@ -85,11 +87,15 @@
 			return Envelope{}, merry.Wrap(ErrUnreachable, merry.WithCause(err))
 		}
 		x := exchange{conn: conn, instruments: k.linker.instruments, request: request, frame: frame}
+		started, received := k.linker.cfg.Clock.Now(), conn.ConnectionStats().PacketsReceived
 		answer, err = x.run(ctx)
 		if err == nil {
 			k.recordSuccess()
 			return answer, nil
 		}
+		if x.maybeSent {
+			k.logUnanswered(conn, request.Kind, started, received, err)
+		}
 		k.discardIfClosed(conn)
 		if x.maybeSent {
 			return Envelope{}, merry.Wrap(ErrUnknownEffect, merry.WithCause(err))
@@ -100,6 +106,29 @@
 	}
 }
 
+// logUnanswered logs the first call without an answer on a connection, with what
+// tells a silent connection from a slow peer.
+func (k *link) logUnanswered(conn *quic.Conn, kind Kind, started time.Time, received uint64, err error) {
+	k.mu.Lock()
+	logged := k.unanswered == conn
+	k.unanswered = conn
+	peer, lastProgress := k.peer.ID, k.state.LastProgress
+	k.mu.Unlock()
+	if logged {
+		return
+	}
+	now, stats := k.linker.cfg.Clock.Now(), conn.ConnectionStats()
+	fields := logrus.Fields{
+		"peer": peer, "kind": kind, "waited-ms": now.Sub(started).Milliseconds(),
+		"packets-received": stats.PacketsReceived - received, "round-trip-ms": stats.SmoothedRTT.Milliseconds(),
+		"connection-closed": conn.Context().Err() != nil,
+	}
+	if !lastProgress.IsZero() {
+		fields["last-answer-ms"] = now.Sub(lastProgress).Milliseconds()
+	}
+	k.linker.cfg.Logger.WithError(err).WithFields(fields).Warn("call on a link was not answered")
+}
+
 // recordSuccess records that the peer has answered, and resets the backoff.
 func (k *link) recordSuccess() {
 	k.mu.Lock()
