fix: a link is closed when the peer acknowledges nothing for a second

Cause: a connection on which nothing arrives should be closed after idleTimeout, so that a call on a dead one blocks for a second at most. quic-go waits for the longer of the idle timeout and three probe timeouts.

Change: each request on a connection starts a timer of idleTimeout, which closes the connection if no packet has arrived since the first request that found the present number of packets. A live peer acknowledges a request also while its handler runs.

--- a/internal/linker/endpoint.go
+++ b/internal/linker/endpoint.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/jonboulle/clockwork"
 	"github.com/quic-go/quic-go"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
@@ -21,9 +22,8 @@
 
 // Timeouts and intervals of a link.
 const (
-	// A connection on which nothing arrives for idleTimeout is closed. QUIC
-	// restarts the timer only with the first packet sent since the last one
-	// received, so a call on a dead connection blocks for at most this time.
+	// A connection on which nothing arrives for idleTimeout after a packet was sent
+	// is closed, so a call on a dead connection blocks for at most this time.
 	idleTimeout = time.Second
 	// keepAlivePeriod leaves two keepalive packets within idleTimeout.
 	keepAlivePeriod = 450 * time.Millisecond
@@ -46,9 +46,10 @@
 	initialReceiveWindow = 64 << 10 // Small, as most messages are below 1 KiB and there may be 350 peers.
 )
 
-// A Clock tells the time.
+// A Clock tells the time and starts timers.
 type Clock interface {
 	Now() time.Time
+	AfterFunc(d time.Duration, f func()) clockwork.Timer
 }
 
 // A Config holds the parameters of a Linker.
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -27,17 +27,17 @@
 	mu         sync.Mutex
 	peer       Peer
 	state      registrar.Link
-	conn       *quic.Conn   // Nil when there is none.
+	conn       *connection  // Nil when there is none.
 	pending    *pendingDial // Nil when no dial is in flight; all callers share it.
 	nextDialAt time.Time    // Earliest time of the next dial; set after failures.
-	unanswered *quic.Conn   // The last connection on which a call without an answer was logged.
+	unanswered *connection  // The last connection on which a call without an answer was logged.
 	closed     bool
 }
 
 // A pendingDial is a dial in flight. Its result is set before done is closed.
 type pendingDial struct {
 	done chan struct{}
-	conn *quic.Conn
+	conn *connection
 	err  error
 }
 
@@ -108,7 +108,7 @@
 
 // logUnanswered logs the first call without an answer on a connection, with what
 // tells a silent connection from a slow peer.
-func (k *link) logUnanswered(conn *quic.Conn, kind Kind, started time.Time, received uint64, err error) {
+func (k *link) logUnanswered(conn *connection, kind Kind, started time.Time, received uint64, err error) {
 	k.mu.Lock()
 	logged := k.unanswered == conn
 	k.unanswered = conn
@@ -121,7 +121,7 @@
 	fields := logrus.Fields{
 		"peer": peer, "kind": kind, "waited-ms": now.Sub(started).Milliseconds(),
 		"packets-received": stats.PacketsReceived - received, "round-trip-ms": stats.SmoothedRTT.Milliseconds(),
-		"connection-closed": conn.Context().Err() != nil,
+		"connection-closed": conn.closed(),
 	}
 	if !lastProgress.IsZero() {
 		fields["last-answer-ms"] = now.Sub(lastProgress).Milliseconds()
@@ -141,8 +141,8 @@
 // discardIfClosed drops a connection that has been closed. It also backs off
 // from a peer that repeatedly accepts connections and closes them without an
 // answer, such as one that rejects this instance's certificate.
-func (k *link) discardIfClosed(conn *quic.Conn) {
-	if conn.Context().Err() == nil {
+func (k *link) discardIfClosed(conn *connection) {
+	if !conn.closed() {
 		return
 	}
 	k.mu.Lock()
@@ -169,7 +169,7 @@
 }
 
 // connect returns a usable connection, dialling one if necessary.
-func (k *link) connect(ctx context.Context) (*quic.Conn, error) {
+func (k *link) connect(ctx context.Context) (*connection, error) {
 	d, conn, err := k.connOrDial()
 	if err != nil || conn != nil {
 		return conn, err
@@ -184,14 +184,17 @@
 
 // connOrDial returns the open connection, or else the dial in flight, which it
 // starts if necessary.
-func (k *link) connOrDial() (*pendingDial, *quic.Conn, error) {
+func (k *link) connOrDial() (*pendingDial, *connection, error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.closed {
 		return nil, nil, merry.New("link is closed")
 	}
-	if k.conn != nil && k.conn.Context().Err() == nil {
-		return nil, k.conn, nil
+	if k.conn != nil {
+		k.conn.closeIfSilent()
+		if !k.conn.closed() {
+			return nil, k.conn, nil
+		}
 	}
 	if k.pending != nil {
 		return k.pending, nil, nil
@@ -228,8 +231,8 @@
 		d.err = err
 		return
 	}
-	k.conn = conn
-	d.conn = conn
+	k.conn = &connection{Conn: conn, clock: k.linker.cfg.Clock}
+	d.conn = k.conn
 }
 
 // handshake dials the peer and checks that it is the expected instance.
@@ -244,7 +247,7 @@
 
 // An exchange is one request and its answer on a dedicated stream.
 type exchange struct {
-	conn        *quic.Conn
+	conn        *connection
 	instruments *instruments
 	request     Envelope
 	frame       []byte
@@ -270,6 +273,8 @@
 	defer stopWatching()
 	defer stream.CancelRead(codeCancelled)
 
+	silenceTimer := x.conn.watchSilence()
+	defer silenceTimer.Stop()
 	x.maybeSent = true
 	if _, err = stream.Write(x.frame); err == nil {
 		err = stream.Close()
--- a/internal/linker/server.go
+++ b/internal/linker/server.go
@@ -15,6 +15,7 @@
 const (
 	codeClosing    quic.ApplicationErrorCode = 0 // The instance is stopping or has removed the peer.
 	codeIdentity   quic.ApplicationErrorCode = 1 // The sender is not the instance of the certificate.
+	codeSilent     quic.ApplicationErrorCode = 2 // The peer acknowledges nothing.
 	codeCancelled  quic.StreamErrorCode      = 0 // The caller no longer waits for the answer.
 	codeUnreadable quic.StreamErrorCode      = 1 // The request could not be read.
 )
--- a/internal/linker/udpproxy_test.go
+++ b/internal/linker/udpproxy_test.go
@@ -1,6 +1,7 @@
 package linker
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"maps"
@@ -28,6 +29,8 @@
 	seenIDs       map[string]bool // Connection IDs of packets of established connections.
 	blackholedIDs map[string]bool
 	partitioned   bool
+	holding       bool
+	held          [][]byte // Packets to the client that arrived while holding.
 }
 
 func newUDPProxy(t *testing.T, server string) *udpProxy {
@@ -65,12 +68,40 @@
 func (p *udpProxy) copyToClient() {
 	packet := make([]byte, 64<<10)
 	for n, err := p.serverSide.Read(packet); !errors.Is(err, net.ErrClosed); n, err = p.serverSide.Read(packet) {
-		if err == nil && p.allows(packet[:n]) {
+		if err == nil && p.allows(packet[:n]) && !p.hold(packet[:n]) {
 			_, _ = p.clientSide.WriteToUDP(packet[:n], p.client.Load())
 		}
 	}
 }
 
+// hold keeps a packet to the client if the proxy is holding packets.
+func (p *udpProxy) hold(packet []byte) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.holding {
+		p.held = append(p.held, bytes.Clone(packet))
+	}
+	return p.holding
+}
+
+// delayPackets holds all packets to the client during an exchange, for d. To the
+// client this looks like a pause of its own process.
+func (p *udpProxy) delayPackets(d time.Duration, exchange func()) {
+	p.mu.Lock()
+	p.holding = true
+	p.mu.Unlock()
+	var group sync.WaitGroup
+	group.Go(exchange)
+	time.Sleep(d)
+	p.mu.Lock()
+	for _, packet := range p.held {
+		_, _ = p.clientSide.WriteToUDP(packet, p.client.Load())
+	}
+	p.holding, p.held = false, nil
+	p.mu.Unlock()
+	group.Wait()
+}
+
 // allows reports whether a packet is forwarded. Handshake packets, which have a
 // long header with the first bit set, always are unless the proxy is
 // partitioned.
@@ -93,12 +124,21 @@
 // unknown to the proxy pass, so exchanges are repeated until no new ID appears.
 func (p *udpProxy) blackholeConnections(t *testing.T, exchange func()) {
 	t.Helper()
+	p.awaitKnownIDs(exchange)
+	p.blackholeKnownIDs()
+}
+
+// awaitKnownIDs repeats exchanges until they bring no new connection ID.
+func (p *udpProxy) awaitKnownIDs(exchange func()) {
 	for n := -1; n != p.connectionIDs(); {
 		n = p.connectionIDs()
 		for range 5 {
 			exchange()
 		}
 	}
+}
+
+func (p *udpProxy) blackholeKnownIDs() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	maps.Copy(p.blackholedIDs, p.seenIDs)
@@ -163,6 +203,48 @@
 	})
 }
 
+// Guards against calls that wait for several seconds on a dead connection after a
+// pause of the process, which the connection takes for a long round trip.
+func TestSilentConnectionAfterPause(t *testing.T) {
+	authority := newAuthority(t)
+	a := startInstance(t, authority, "entry-a", loopback)
+	b := startInstance(t, authority, "entry-b", loopback)
+	proxy := newUDPProxy(t, b.Address())
+	a.setPeer("entry-b", proxy.address())
+	exchange := func() { assertAnswered(t, a, "entry-b") }
+	pauseAndBlackhole := func() {
+		proxy.awaitKnownIDs(exchange)
+		for range 3 {
+			proxy.delayPackets(idleTimeout*8/10, exchange)
+		}
+		proxy.blackholeKnownIDs()
+	}
+	t.Run("one call", func(t *testing.T) {
+		pauseAndBlackhole()
+		start := time.Now()
+		_, err := a.callEcho("entry-b", "hello")
+		assert.ErrorIs(t, err, ErrUnknownEffect)
+		assert.Assert(t, time.Since(start) < maxBlockedTime, "blocked for %v", time.Since(start))
+		assertAnswered(t, a, "entry-b")
+	})
+	t.Run("calls that give up sooner", func(t *testing.T) {
+		pauseAndBlackhole()
+		start := time.Now()
+		for err := ErrUnknownEffect; err != nil; {
+			ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+			err = a.Call(ctx, "entry-b", KindYield, "hello", nil)
+			cancel()
+			assert.Assert(t, time.Since(start) < maxBlockedTime, "no answer for %v", time.Since(start))
+		}
+	})
+	t.Run("a slow handler does not close the connection", func(t *testing.T) {
+		time.AfterFunc(idleTimeout+idleTimeout/2, func() { close(b.echo.release) })
+		answer, err := a.callEcho("entry-b", "wait")
+		assert.NilError(t, err)
+		assert.Equal(t, answer, "entry-a: wait")
+	})
+}
+
 // Guards against a link that stays broken after its peer restarted at the same
 // address, and against an instance that does not stop.
 func TestRestartedPeer(t *testing.T) {
