fix: a peer that does not answer does not keep others from giving a copy

Change: when a fetch has been under way for 0.3 s, the next peer that reports a newer copy is asked as well, up to four at a time; the first success ends the others. The decision is fetches.mayAsk.

--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/ansel1/merry/v2"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
@@ -35,8 +34,6 @@
 	// that are made by ReportTo.
 	minReportInterval = 25 * time.Millisecond
 	exchangeTimeout   = 400 * time.Millisecond
-	// copyTimeout is the timeout for fetching a copy of store contents.
-	copyTimeout = 2 * time.Second
 	// fallbackCallDelay is the silence after which an instance calls a peer that should
 	// call it, and the time between two such calls. The peer may not know about this
 	// instance.
@@ -75,11 +72,6 @@
 	OtherCells *Summary `cbor:"rest,omitempty"`
 }
 
-// A copyRequest requests the copy of a source.
-type copyRequest struct {
-	Name string `cbor:"name"`
-}
-
 // Links are the links to the peers. *linker.Linker implements it.
 type Links interface {
 	Call(ctx context.Context, peer string, kind linker.Kind, request, response any) error
@@ -129,12 +121,12 @@
 
 	mu           sync.Mutex
 	cell         enroller.Cell
-	peers        map[string]*peer // By instance ID.
-	self         peer             // Own reports, for the aggregate of the cell.
-	otherCellsAt time.Time        // Time of the last aggregate of the other cells; zero if their load is not counted.
-	fetching     map[string]bool  // Names of sources whose copies are being fetched.
-	sequence     uint64           // Sequence of the last own report.
-	baseCtx      context.Context  // Context of all exchanges; nil before Start.
+	peers        map[string]*peer   // By instance ID.
+	self         peer               // Own reports, for the aggregate of the cell.
+	otherCellsAt time.Time          // Time of the last aggregate of the other cells; zero if their load is not counted.
+	fetches      map[string]fetches // Fetches of copies under way, by name of the source.
+	sequence     uint64             // Sequence of the last own report.
+	baseCtx      context.Context    // Context of all exchanges; nil before Start.
 	group        conc.WaitGroup
 }
 
@@ -160,7 +152,7 @@
 // New returns a gossiper and registers its message handlers. It must be called before
 // the links start.
 func New(cfg Config) *Gossiper {
-	g := &Gossiper{cfg: cfg, peers: map[string]*peer{}, fetching: map[string]bool{}}
+	g := &Gossiper{cfg: cfg, peers: map[string]*peer{}, fetches: map[string]fetches{}}
 	cfg.Links.Handle(linker.KindReport, linker.HandlerFunc(g.handleReport))
 	cfg.Links.Handle(linker.KindCopy, linker.HandlerFunc(g.handleCopy))
 	return g
@@ -400,46 +392,6 @@
 	})
 }
 
-// fetchNewer fetches copies that are newer than the local ones from a peer. It skips
-// sources that read from the store themselves.
-func (g *Gossiper) fetchNewer(id string, versions map[string]int64) {
-	for name, source := range g.cfg.Sources {
-		if source.Connected() || versions[name] <= source.Version() || !g.beginFetch(name) {
-			continue
-		}
-		g.group.Go(func() { g.fetch(id, name, source, versions[name]) })
-	}
-}
-
-func (g *Gossiper) beginFetch(name string) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.fetching[name] {
-		return false
-	}
-	g.fetching[name] = true
-	return true
-}
-
-func (g *Gossiper) fetch(id, name string, source Source, peerVersion int64) {
-	started := g.cfg.Clock.Now()
-	defer func() {
-		g.mu.Lock()
-		delete(g.fetching, name)
-		g.mu.Unlock()
-	}()
-	ctx, cancel := context.WithTimeout(context.Background(), copyTimeout)
-	defer cancel()
-	var c follower.Snapshot
-	if err := g.cfg.Links.Call(ctx, id, linker.KindCopy, copyRequest{Name: name}, &c); err != nil {
-		g.cfg.Logger.WithError(err).WithFields(logrus.Fields{
-			"peer": id, "copy": name, "version": source.Version(), "peer-version": peerVersion, "waited-ms": g.cfg.Clock.Now().Sub(started).Milliseconds(),
-		}).Warn("failed to fetch copy from peer")
-		return
-	}
-	source.OfferSnapshot(c)
-}
-
 func (g *Gossiper) handleReport(_ context.Context, sender string, payload []byte) ([]byte, error) {
 	var r Report
 	if err := linker.Unmarshal(payload, &r); err != nil {
@@ -449,15 +401,3 @@
 	g.applyReport(sender, r)
 	return linker.Marshal(ownReport)
 }
-
-func (g *Gossiper) handleCopy(_ context.Context, _ string, payload []byte) ([]byte, error) {
-	var q copyRequest
-	if err := linker.Unmarshal(payload, &q); err != nil {
-		return nil, err
-	}
-	source, ok := g.cfg.Sources[q.Name]
-	if !ok {
-		return nil, merry.Errorf("no copy is called %q", q.Name)
-	}
-	return linker.Marshal(source.Snapshot())
-}
