fix: an instance that is behind its peers lists the store

Cause: an instance that takes its copies from peers knew from their reports that it was behind, but had no way back to the store: only a stale watch of its own was noticed. A reachable follower of the store was enough for it to stay with copies, whether they arrived or not.

Change: a change that a peer knows of is awaited for 0.8 s, by an instance that follows the store and by one that takes copies. Then the store is listed, and copies are used again once a listing or a copy has come.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -28,11 +28,11 @@
 	// peerCheckInterval is the interval of checks whether a peer still follows the
 	// store for this instance.
 	peerCheckInterval = 300 * time.Millisecond
-	// staleWatchTimeout is how long a peer may know of a change before this
-	// instance considers its own watch dead. It exceeds CoalesceDelay plus an
-	// exchange with a peer, and leaves time to list the keys within the two
-	// seconds in which changes must arrive.
-	staleWatchTimeout = 800 * time.Millisecond
+	// staleTimeout is how long a peer may know of a change before this instance no
+	// longer waits for it to arrive. It exceeds CoalesceDelay plus an exchange with a
+	// peer, and leaves time to list the keys within the two seconds in which changes
+	// must arrive.
+	staleTimeout = 800 * time.Millisecond
 )
 
 // errStale means that a watch was cancelled because a peer knew of later changes.
@@ -84,19 +84,23 @@
 	connected     bool
 	outage        bool      // A call failed and the store has not been listed since.
 	reconnectedAt time.Time // End of the last outage; zero during an outage and before the first.
-	// peerChangedAt is the highest version of a change that a peer has reported.
-	peerChangedAt int64
-	behindSince   time.Time            // Since when a peer knows of a later change; zero when none does.
-	cancelWatch   context.CancelFunc   // Cancels the watch in progress; nil between watches.
-	removeAt      map[string]time.Time // Keys in their removal grace, with its end.
-	usingPeer     bool                 // Snapshots of a peer replace the watch, as UsePeerSnapshots asks for.
+	// awaited is the version of a change that a peer knows of and that has not
+	// arrived; it has arrived when awaited <= version.
+	awaited      int64
+	awaitedSince time.Time
+	cancelWatch  context.CancelFunc   // Cancels the watch in progress; nil between watches.
+	removeAt     map[string]time.Time // Keys in their removal grace, with its end.
+	usingPeer    bool                 // Snapshots of a peer replace the watch, as UsePeerSnapshots asks for.
+	mustList     bool                 // Snapshots of peers did not arrive; the store is listed before they are used again.
+
+	wake chan struct{} // Interrupts the pause between checks of peers.
 
 	notifyMu sync.Mutex // Held during OnChange, so that calls are serialized.
 }
 
 // New returns a follower without any keys.
 func New(cfg Config) *Follower {
-	return &Follower{cfg: cfg, entries: map[string]storer.Entry{}, removeAt: map[string]time.Time{}}
+	return &Follower{cfg: cfg, entries: map[string]storer.Entry{}, removeAt: map[string]time.Time{}, wake: make(chan struct{}, 1)}
 }
 
 // Start follows the store until the context ends, which the channel reports.
@@ -134,7 +138,7 @@
 // step lists the keys, or waits for changes once they have been listed.
 func (f *Follower) step(ctx context.Context) error {
 	if f.updateUsingPeer() {
-		waiter.Pause(ctx, f.cfg.Clock, peerCheckInterval, nil)
+		waiter.Pause(ctx, f.cfg.Clock, peerCheckInterval, f.wake)
 		return nil
 	}
 	after, listed := f.position()
@@ -184,40 +188,45 @@
 }
 
 // ObservePeerVersion records the version of the last change with the prefix that
-// a peer knows of. A watch that does not deliver that change within
-// staleWatchTimeout is assumed to hang on a dead connection: it is cancelled, and
-// the keys are listed again.
+// a peer knows of. If that change does not arrive within staleTimeout, the keys are
+// listed again: a watch may hang on a dead connection, and snapshots of peers may
+// get lost on the way.
 func (f *Follower) ObservePeerVersion(changedAt int64) {
 	f.mu.Lock()
 	now := f.cfg.Clock.Now()
-	f.peerChangedAt = max(f.peerChangedAt, changedAt)
-	switch {
-	case !f.connected || f.usingPeer || f.peerChangedAt <= f.version:
-		f.behindSince = time.Time{}
-	case f.behindSince.IsZero():
-		f.behindSince = now
+	if f.awaited <= f.version {
+		f.awaited, f.awaitedSince = changedAt, now
 	}
+	waiting := f.usingPeer || f.connected && f.cancelWatch != nil
+	stale := waiting && f.awaited > f.version && now.Sub(f.awaitedSince) >= staleTimeout
+	fields := logrus.Fields{"follows": f.cfg.Name, "version": f.version, "peer-version": f.awaited, "behind-ms": now.Sub(f.awaitedSince).Milliseconds(), "using-peers": f.usingPeer}
 	cancelWatch := f.cancelWatch
-	stale := !f.behindSince.IsZero() && now.Sub(f.behindSince) >= staleWatchTimeout && cancelWatch != nil
-	version := f.version
 	if stale {
-		f.connected = false
-		f.behindSince = time.Time{}
+		f.awaitedSince = now
+		f.connected, f.usingPeer, f.mustList = false, false, true
 	}
 	f.mu.Unlock()
-	if stale {
-		f.cfg.Logger.WithFields(logrus.Fields{"follows": f.cfg.Name, "version": version, "peer-version": changedAt}).Warn("watch is stale, listing again")
+	if !stale {
+		return
+	}
+	f.cfg.Logger.WithFields(fields).Warn("changes that peers know of do not arrive; listing again")
+	if cancelWatch != nil {
 		cancelWatch()
 	}
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
 }
 
 // updateUsingPeer decides whether the next changes come from a peer. Until the
-// follower has a first version it uses the store.
+// follower has a first version it uses the store, and also while snapshots of peers
+// do not arrive.
 func (f *Follower) updateUsingPeer() bool {
 	usePeer := f.cfg.UsePeerSnapshots != nil && f.cfg.UsePeerSnapshots()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.usingPeer = usePeer && f.version > 0
+	f.usingPeer = usePeer && f.version > 0 && !f.mustList
 	return f.usingPeer
 }
 
@@ -261,7 +270,7 @@
 	f.mu.Lock()
 	first := f.version == 0
 	now := f.cfg.Clock.Now()
-	f.connected = true
+	f.connected, f.mustList = true, false
 	if f.outage {
 		f.outage, f.reconnectedAt = false, now
 	}
@@ -379,7 +388,7 @@
 		f.mu.Unlock()
 		return false
 	}
-	f.version = snapshot.Version
+	f.version, f.mustList = snapshot.Version, false
 	f.changedAt = max(f.changedAt, snapshot.ChangedAt)
 	f.entries = make(map[string]storer.Entry, len(snapshot.Entries))
 	for _, e := range snapshot.Entries {
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -223,14 +223,73 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 	took := clock.Since(start)
-	assert.Assert(t, took >= staleWatchTimeout && took < 2*staleWatchTimeout, "listed after %v", took)
+	assert.Assert(t, took >= staleTimeout && took < 2*staleTimeout, "listed after %v", took)
 	t.Run("keys that disappeared are removed at once as there was no outage", func(t *testing.T) {
 		awaitKeys(t, r.follower, 2)
 	})
 	t.Run("a peer without later changes does not cancel the watch", func(t *testing.T) {
 		r.follower.ObservePeerVersion(listing.Version)
-		time.Sleep(2 * staleWatchTimeout)
+		time.Sleep(2 * staleTimeout)
 		r.follower.ObservePeerVersion(listing.Version)
 		assert.Assert(t, r.follower.Connected())
 	})
 }
+
+// Guards against an instance whose copies no longer arrive from peers, although the
+// peers report later changes and the store is in reach.
+func TestBehindPeers(t *testing.T) {
+	behind := func(t *testing.T) (r *followerTest, changedAt int64) {
+		r = startFollower(t, 0, "k/a")
+		awaitKeys(t, r.follower, 1)
+		r.usePeer.Store(true)
+		r.put(t, "k/b") // Ends the watch in progress.
+		awaitKeys(t, r.follower, 2)
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if r.follower.Connected() {
+				return poll.Continue("the store is still followed")
+			}
+			return poll.Success()
+		})
+		r.put(t, "k/c")
+		listing, err := r.store.List(t.Context(), "k/")
+		assert.NilError(t, err)
+		return r, listing.Version
+	}
+	t.Run("lists the store", func(t *testing.T) {
+		r, changedAt := behind(t)
+		start := time.Now()
+		for len(r.follower.Snapshot().Entries) != 3 && time.Since(start) < 5*time.Second {
+			r.follower.ObservePeerVersion(changedAt)
+			time.Sleep(20 * time.Millisecond)
+		}
+		took := time.Since(start)
+		assert.Assert(t, took >= staleTimeout && took < 2*staleTimeout, "listed after %v", took)
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if r.follower.Connected() {
+				return poll.Continue("copies of peers are not used again")
+			}
+			return poll.Success()
+		})
+	})
+	t.Run("takes a snapshot while the store is out of reach", func(t *testing.T) {
+		r, changedAt := behind(t)
+		r.setDown(true)
+		start := time.Now()
+		for time.Since(start) < 2*staleTimeout {
+			r.follower.ObservePeerVersion(changedAt)
+			time.Sleep(20 * time.Millisecond)
+		}
+		assert.Assert(t, r.follower.OfferSnapshot(Snapshot{Entries: []storer.Entry{{Key: "k/c", Version: changedAt}}, Version: changedAt}))
+	})
+	t.Run("changes that keep arriving late do not list the store", func(t *testing.T) {
+		r, changedAt := behind(t)
+		calls := r.store.Calls("list")
+		for start := time.Now(); time.Since(start) < 2*staleTimeout; changedAt++ {
+			r.follower.ObservePeerVersion(changedAt)
+			time.Sleep(50 * time.Millisecond)
+			r.follower.OfferSnapshot(Snapshot{Version: changedAt})
+			r.follower.ObservePeerVersion(changedAt + 1)
+		}
+		assert.Equal(t, r.store.Calls("list"), calls)
+	})
+}
