--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -265,7 +265,8 @@
 }
 
 // replace applies a listing. Keys that disappeared during an outage are kept for
-// RemovalGrace.
+// RemovalGrace. A listing that is older than a snapshot of a peer only shows that the
+// store is in reach; the watch continues from the snapshot.
 func (f *Follower) replace(l storer.Listing) {
 	f.mu.Lock()
 	first := f.version == 0
@@ -274,6 +275,12 @@
 	if f.outage {
 		f.outage, f.reconnectedAt = false, now
 	}
+	if l.Version < f.version {
+		version := f.version
+		f.mu.Unlock()
+		f.cfg.Logger.WithFields(logrus.Fields{"follows": f.cfg.Name, "version": version, "listed-version": l.Version}).Info("listing is older than the snapshot of a peer")
+		return
+	}
 	f.version = l.Version
 	present := make(map[string]bool, len(l.Entries))
 	for _, e := range l.Entries {
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -293,3 +293,62 @@
 		assert.Equal(t, r.store.Calls("list"), calls)
 	})
 }
+
+// A slowListStore is a store whose listings are held back after they were read, while
+// held is not nil.
+type slowListStore struct {
+	*storeemulator.Store
+	held    chan struct{} // Closed to return a listing.
+	reading chan struct{} // Receives when a listing is held back.
+}
+
+func (s *slowListStore) List(ctx context.Context, prefix string) (storer.Listing, error) {
+	l, err := s.Store.List(ctx, prefix)
+	if err == nil && s.held != nil {
+		s.reading <- struct{}{}
+		<-s.held
+	}
+	return l, err
+}
+
+// Guards against servers that left and keys that were withdrawn and are in use again,
+// when a listing arrives after a newer snapshot of a peer.
+func TestOutdatedListing(t *testing.T) {
+	clock := clockwork.NewRealClock()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	r := &followerTest{store: storeemulator.New(clock)}
+	r.put(t, "k/left", "k/stays")
+	slow := &slowListStore{Store: r.store, held: make(chan struct{}), reading: make(chan struct{}, 1)}
+	var returned atomic.Bool
+	r.follower = New(Config{Name: "test", Prefix: "k/", Store: slow, Clock: clock, Logger: logger, OnChange: func(c Snapshot) {
+		for _, e := range c.Entries {
+			if e.Key == "k/left" {
+				returned.Store(true)
+			}
+		}
+	}})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := r.follower.Start(ctx)
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-ended)
+	})
+	<-slow.reading
+	r.remove(t, "k/left")
+	r.put(t, "k/new")
+	current, err := r.store.List(t.Context(), "k/")
+	assert.NilError(t, err)
+	assert.Assert(t, r.follower.OfferSnapshot(Snapshot{Entries: current.Entries, Version: current.Version}))
+	close(slow.held)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !r.follower.Connected() {
+			return poll.Continue("not connected")
+		}
+		return poll.Success()
+	})
+	assert.Assert(t, r.follower.Version() >= current.Version, "version %d after %d", r.follower.Version(), current.Version)
+	assert.Assert(t, !returned.Load(), "an entry that was removed is in use again")
+	r.put(t, "k/last")
+	awaitKeys(t, r.follower, 3)
+}
