--- a/internal/publisher/follow_test.go
+++ b/internal/publisher/follow_test.go
@@ -149,6 +149,31 @@
 	})
 }
 
+// Guards against a revision that is not in force in 18 s at an instance that is cut
+// off from the platform, because peers that were lost with a rack are asked for it.
+func TestSilentPeers(t *testing.T) {
+	d := newTestDeployment()
+	accepting, _, _ := d.newPublisher("accepting")
+	apply(t, accepting, "a")
+	isolated, store, _ := d.newPublisher("cut")
+	store.down.Store(true)
+	for n := range 12 {
+		d.network.silentPeers = append(d.network.silentPeers, fmt.Sprintf("lost-%d", n))
+	}
+	start(t, isolated)
+	for _, peer := range d.network.silentPeers {
+		isolated.ObserveRevision(peer, 1)
+	}
+	time.Sleep(100 * time.Millisecond) // The first peer is being asked.
+	isolated.ObserveRevision("accepting", 1)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if _, ok := isolated.Current(); !ok {
+			return poll.Continue("no configuration")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(18*time.Second))
+}
+
 func waitFor(t *testing.T, condition func() bool) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
--- a/internal/publisher/peers.go
+++ b/internal/publisher/peers.go
@@ -2,22 +2,37 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
+	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/quetzalhitch/quetzalhitch/internal/linker"
 )
 
-// maxConcurrentAnnouncements bounds the announcements in flight.
-const maxConcurrentAnnouncements = 16
+const (
+	// maxConcurrentAnnouncements bounds the announcements in flight.
+	maxConcurrentAnnouncements = 16
+	// maxConcurrentFetches is the number of peers that are asked for a snapshot at a
+	// time.
+	maxConcurrentFetches = 4
+	// fetchPatience is the time after which another peer is asked as well.
+	fetchPatience = 300 * time.Millisecond
+)
 
 // peerRevisions holds the revisions of peers that reported a higher one.
 type peerRevisions struct {
-	mu        sync.Mutex
-	revisions map[string]int64 // By instance ID.
+	mu      sync.Mutex
+	reports map[string]revisionReport // By instance ID.
+	n       int64                     // Number of the last report.
+}
+
+// A revisionReport is the last report of a peer.
+type revisionReport struct {
+	revision int64
+	number   int64 // Grows with each report of any peer.
 }
 
 // ObserveRevision records the revision that a peer reported in a message. If it
@@ -44,30 +59,50 @@
 	}
 }
 
-// catchUp asks the peers with a higher revision, in random order to spread the
-// load, until one returns its snapshot. While the watch works, it first waits
-// PeerFetchDelay for it. A peer that fails is asked again after its next
-// heartbeat.
+// catchUp asks the peers with a higher revision until one returns its snapshot.
+// While the watch works, it first waits PeerFetchDelay for it. A peer that has not
+// answered for fetchPatience does not keep others from being asked. A peer that
+// fails is asked again after its next heartbeat.
 func (p *Publisher) catchUp(ctx context.Context) {
-	if len(p.peerRevisions.peersAbove(p.revision())) == 0 {
+	if p.peerRevisions.latestAbove(p.revision()) == "" {
 		return
 	}
 	if p.watchHealthy.Load() && !p.sleep(ctx, p.cfg.PeerFetchDelay) {
 		return
 	}
-	peers := p.peerRevisions.peersAbove(p.revision())
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	for _, peer := range peers {
-		if ctx.Err() != nil {
-			return
+	ctx, cancel := context.WithCancel(ctx)
+	var group conc.WaitGroup
+	defer group.Wait()
+	defer cancel()
+	results := make(chan error, maxConcurrentFetches)
+	for pending := 0; ctx.Err() == nil; {
+		if peer := p.peerRevisions.latestAbove(p.revision()); peer != "" && pending < maxConcurrentFetches {
+			p.peerRevisions.remove(peer)
+			pending++
+			group.Go(func() { results <- p.tryPeer(ctx, peer) })
 		}
-		p.peerRevisions.remove(peer)
-		err := p.fetchFromPeer(ctx, peer)
-		if err == nil {
+		if pending == 0 {
 			return
 		}
+		select {
+		case err := <-results:
+			pending--
+			if err == nil {
+				return
+			}
+		case <-p.cfg.Clock.After(fetchPatience):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// tryPeer fetches the snapshot of a peer and logs a failure.
+func (p *Publisher) tryPeer(ctx context.Context, peer string) error {
+	err := p.fetchFromPeer(ctx, peer)
+	if err != nil && ctx.Err() == nil {
 		p.cfg.Logger.WithError(err).WithField("peer", peer).Warn("failed to fetch snapshot from peer")
 	}
+	return err
 }
 
 // fetchFromPeer asks a peer for its snapshot and installs it.
@@ -123,23 +158,25 @@
 func (r *peerRevisions) set(peer string, revision int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.revisions[peer] = revision
+	r.n++
+	r.reports[peer] = revisionReport{revision: revision, number: r.n}
 }
 
 func (r *peerRevisions) remove(peer string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.revisions, peer)
+	delete(r.reports, peer)
 }
 
-// peersAbove returns the peers with a higher revision.
-func (r *peerRevisions) peersAbove(revision int64) (peers []string) {
+// latestAbove returns the peer with a higher revision that reported last, which is
+// the most likely to answer, or an empty string.
+func (r *peerRevisions) latestAbove(revision int64) (latest string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for peer, reported := range r.revisions {
-		if reported > revision {
-			peers = append(peers, peer)
+	for peer, report := range r.reports {
+		if report.revision > revision && (latest == "" || report.number > r.reports[latest].number) {
+			latest = peer
 		}
 	}
-	return peers
+	return latest
 }
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -120,7 +120,7 @@
 	setDefault(&cfg.PeerTimeout, DefaultPeerTimeout)
 	return &Publisher{
 		cfg:           cfg,
-		peerRevisions: peerRevisions{revisions: map[string]int64{}},
+		peerRevisions: peerRevisions{reports: map[string]revisionReport{}},
 		peerAhead:     make(chan struct{}, 1),
 		accepted:      make(chan struct{}, 1),
 	}
--- a/internal/publisher/publisher_test.go
+++ b/internal/publisher/publisher_test.go
@@ -89,6 +89,7 @@
 	publishers     map[string]*publisher.Publisher
 	stalePeer      string       // Peer that sends its snapshot even if its revision is not above the requested one.
 	staleResponses atomic.Int64 // Snapshots that stalePeer sent.
+	silentPeers    []string     // Peers that answer nothing.
 }
 
 func (n *fakeNetwork) add(id string, p *publisher.Publisher) {
@@ -118,6 +119,10 @@
 	e.network.mu.Lock()
 	target := e.network.publishers[peer]
 	e.network.mu.Unlock()
+	if slices.Contains(e.network.silentPeers, peer) {
+		<-ctx.Done()
+		return linker.ErrUnknownEffect
+	}
 	if target == nil {
 		return linker.ErrUnreachable
 	}
