feat: probes tell whether a server that dropped a request has crashed

After a lost connection a server counted as crashed or sound only when its entry in the store had gone (three heartbeats) or after 6 s; the log said nothing of it.

A server that drops a request is probed at once, by opening a connection. Two refused probes in a row are a crash, which is logged; a probe that connects shows that the server runs on. Probes without an answer prove nothing, as before.

New cases of TestJudgeLoss.

--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -18,6 +18,7 @@
 	b     *Balancer
 
 	probeSucceeds  bool   // Result of Probe.
+	probeRefused   bool   // Result of Probe unless it succeeds.
 	contentionPeer string // Last peer passed to OnBatchContention.
 }
 
@@ -26,6 +27,9 @@
 	if f.probeSucceeds {
 		return nil
 	}
+	if f.probeRefused {
+		return ErrRefused
+	}
 	return io.ErrUnexpectedEOF
 }
 
--- a/internal/balancer/health.go
+++ b/internal/balancer/health.go
@@ -37,7 +37,8 @@
 	misdirected    bool
 	unreachable    bool // No connection could be opened; cleared by a successful probe or request.
 	probing        bool
-	nextProbeAt    time.Time // Used while the server is unreachable.
+	lost           bool      // It dropped a request, and no probe has told whether it still listens.
+	nextProbeAt    time.Time // Used while the server is unreachable or lost.
 }
 
 func (h *health) suspected(now time.Time) bool {
@@ -68,6 +69,9 @@
 	case OutcomeMisdirected:
 		h.misdirected = true
 	case OutcomeFailed, OutcomeLost:
+		if outcome == OutcomeLost && !h.lost && !h.unreachable {
+			h.lost, h.nextProbeAt = true, now
+		}
 		h.failureRate += failureRateWeight * (1 - h.failureRate)
 		if h.failureRate >= suspectFailureRate {
 			h.suspect(now)
@@ -96,7 +100,7 @@
 
 // recordProbe records the result of a probe.
 func (h *health) recordProbe(reached bool, now time.Time) {
-	h.probing = false
+	h.probing, h.lost = false, false
 	if reached {
 		h.unreachable = false
 		return
--- a/internal/balancer/loss_test.go
+++ b/internal/balancer/loss_test.go
@@ -65,4 +65,55 @@
 		f.acquire(t, Online).Release(OutcomeDone)
 		f.assertVerdict(t, at, LossFatal)
 	})
+	// Guards against a verdict that takes as long as the platform takes to remove the
+	// entry of a server, while the next server crashes under the same work.
+	t.Run("fatal once two probes are refused", func(t *testing.T) {
+		f, at := lose(t)
+		f.probeRefused = true
+		f.runDueProbes()
+		f.assertVerdict(t, at, LossOpen)
+		f.clock.Advance(probeRetryDelay)
+		f.runDueProbes()
+		f.assertVerdict(t, at, LossFatal)
+		f.probeSucceeds = true
+		f.clock.Advance(probeRetryDelay)
+		f.runDueProbes()
+		f.assertVerdict(t, at, LossFatal)
+	})
+	t.Run("one refused probe proves nothing", func(t *testing.T) {
+		f, at := lose(t)
+		f.probeRefused = true
+		f.runDueProbes()
+		f.clock.Advance(probeRetryDelay)
+		f.probeSucceeds = true
+		f.runDueProbes()
+		f.assertVerdict(t, at, LossSurvived)
+	})
+	t.Run("probes without an answer prove nothing", func(t *testing.T) {
+		f, at := lose(t)
+		for range 3 {
+			f.runDueProbes()
+			f.clock.Advance(probeRetryDelay)
+		}
+		f.assertVerdict(t, at, LossOpen)
+	})
+	t.Run("survived once a probe reaches the server", func(t *testing.T) {
+		f, at := lose(t)
+		f.probeSucceeds = true
+		f.runDueProbes()
+		f.assertVerdict(t, at, LossSurvived)
+	})
+	t.Run("a later crash does not make an earlier loss fatal", func(t *testing.T) {
+		f, at := lose(t)
+		f.probeSucceeds = true
+		f.runDueProbes()
+		f.clock.Advance(crashNotice)
+		f.probeSucceeds, f.probeRefused = false, true
+		f.acquire(t, Online).Release(OutcomeLost)
+		for range 2 {
+			f.runDueProbes()
+			f.clock.Advance(probeRetryDelay)
+		}
+		f.assertVerdict(t, at, LossSurvived)
+	})
 }
--- a/internal/balancer/pool.go
+++ b/internal/balancer/pool.go
@@ -60,9 +60,16 @@
 	health    health
 	// installedAt is when this instance learned of this start of the server.
 	installedAt time.Time
-	// soundAt is the start of the latest work that the server has completed.
+	// soundAt is the start of the latest work that the server has completed, or of the
+	// latest probe that reached it.
 	soundAt time.Time
-	batch   []*Placement // Batch work of this instance that is not preempted, oldest first.
+	// refusedAt is the start of the first of the refused probes since a probe reached
+	// the server; zero if the last one was not refused.
+	refusedAt time.Time
+	// crashedAt is refusedAt of the latest time that two probes in a row were refused;
+	// zero if there was none.
+	crashedAt time.Time
+	batch     []*Placement // Batch work of this instance that is not preempted, oldest first.
 	// preemptedRunning counts the batch work of this instance that was preempted and
 	// has not been released yet. It is included in local.
 	preemptedRunning int
--- a/internal/balancer/prober.go
+++ b/internal/balancer/prober.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 )
@@ -16,13 +17,17 @@
 	domainProbeThreshold = 2
 )
 
+// ErrRefused is returned by a Probe when the machine of the server is in reach and
+// refuses the connection.
+var ErrRefused = merry.Sentinel("the backend server refuses connections")
+
 // A Probe checks whether a server is reachable. A nil error means that it is.
 type Probe interface {
 	Probe(ctx context.Context, b Backend) error
 }
 
-// Start probes unreachable servers until the context ends, so that no request is
-// spent on testing whether they have recovered.
+// Start probes servers that are unreachable or dropped a request until the context
+// ends, so that no request is spent on testing whether they have recovered.
 func (b *Balancer) Start(ctx context.Context) <-chan error {
 	ended := make(chan error, 1)
 	var group conc.WaitGroup
@@ -67,7 +72,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, s := range p.order {
-		if s.health.unreachable && !s.health.probing && !now.Before(s.health.nextProbeAt) {
+		if (s.health.unreachable || s.health.lost) && !s.health.probing && !now.Before(s.health.nextProbeAt) {
 			s.health.probing = true
 			due = append(due, dueProbe{pool: p, server: s, backend: s.Backend})
 		}
@@ -76,16 +81,22 @@
 }
 
 func (b *Balancer) probe(ctx context.Context, d dueProbe) {
+	startedAt := b.cfg.Clock.Now()
 	err := b.cfg.Probe.Probe(ctx, d.backend)
 	if ctx.Err() != nil {
 		return
 	}
 	d.pool.mu.Lock()
-	d.server.health.recordProbe(err == nil, b.cfg.Clock.Now())
+	wasUnreachable := d.server.health.unreachable
+	crashed := d.server.recordProbe(err, startedAt, b.cfg.Clock.Now())
 	d.pool.signalCapacity()
 	d.pool.mu.Unlock()
-	if err == nil {
-		b.cfg.Logger.WithFields(logrus.Fields{"backend-server": d.backend.ID, "failure-domain": d.backend.FailureDomain}).Info("backend server is reachable again")
+	logger := b.cfg.Logger.WithFields(logrus.Fields{"backend-server": d.backend.ID, "failure-domain": d.backend.FailureDomain})
+	switch {
+	case crashed:
+		logger.Info("backend server has crashed")
+	case err == nil && wasUnreachable:
+		logger.Info("backend server is reachable again")
 	}
 }
 
