fix: a part of prompts that crashes servers is quarantined by the whole fleet

Change: retrier.Parts tracks the parts of a prompt but the last. A crash counts when probes or the list of servers confirm it; after three crashes of different servers under different requests, 0.25 s apart, and no answer to a request with the part since, requests with it are refused as not run. One answer that begins, at any instance, clears it: sound requests share the other parts. Crashes and answers travel with the reports, as ages; the quarantine is an entry in the store, so that restarts do not end it. One request of the fleet at a time may try the part again, decided by the store, after 10 s, 30 s, 90 s, up to 10 min.

Evidence: TestCrashingPart (one instance, ten servers, HTTP only) fails on: 10 of 10 servers crashed; at most 5 now and all sound requests served.

--- a/internal/balancer/loss.go
+++ b/internal/balancer/loss.go
@@ -76,3 +76,8 @@
 	}
 	return LossOpen, true
 }
+
+// Crashed reports whether a server has crashed since a connection to it was lost.
+func (b *Balancer) Crashed(server string, at time.Time) bool {
+	return b.JudgeLoss(server, at) == LossFatal
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -46,9 +46,11 @@
 	Target               string // Path and query, as the caller sent them.
 	Header               []sender.Field
 	Body                 []byte
-	ArrivedAt            time.Time
-	Deadline             time.Time // The earlier of the caller's deadline and the route's timeout.
-	LastEventID          string    // ID of the last event that the caller received; empty if the stream starts from its beginning.
+	// SharedParts are the IDs of the parts of the prompt that other requests may share.
+	SharedParts []string
+	ArrivedAt   time.Time
+	Deadline    time.Time // The earlier of the caller's deadline and the route's timeout.
+	LastEventID string    // ID of the last event that the caller received; empty if the stream starts from its beginning.
 }
 
 // digest identifies the content of the request within its workspace. It does not
@@ -57,6 +59,15 @@
 	return retrier.Content{Scope: q.Workspace, Method: q.Method, Path: q.Target, Body: q.Body}.Digest()
 }
 
+// partDigests returns the digests of the shared parts of the prompt.
+func (q *Request) partDigests() []retrier.PartDigest {
+	parts := make([]retrier.PartDigest, 0, len(q.SharedParts))
+	for _, id := range q.SharedParts {
+		parts = append(parts, retrier.DigestPart(q.Service, id))
+	}
+	return parts
+}
+
 // An Attempt is one try to run a request on a backend server.
 type Attempt struct {
 	Request          *Request
@@ -108,6 +119,22 @@
 	Suspicion(digest string) retrier.Suspicion
 }
 
+// PartTracker records which parts of prompts backend servers crashed on.
+// *retrier.Parts implements it.
+type PartTracker interface {
+	RecordAnswer(parts []retrier.PartDigest)
+	RecordLoss(parts []retrier.PartDigest, server, request string)
+	State(parts []retrier.PartDigest) (retrier.PartState, retrier.PartDigest)
+}
+
+// Trials decides which request may try whether a quarantined part still crashes
+// servers.
+type Trials interface {
+	// Begin reports whether this is the only request of the fleet that may try the
+	// part now.
+	Begin(ctx context.Context, part retrier.PartDigest) bool
+}
+
 // A Clock tells the time and starts timers.
 type Clock interface {
 	Now() time.Time
@@ -122,6 +149,8 @@
 	Logger        logrus.FieldLogger
 
 	CrashTracker CrashTracker
+	PartTracker  PartTracker
+	Trials       Trials
 	Meter        metric.Meter
 }
 
@@ -151,7 +180,7 @@
 // Forward serves a request. It returns when the answer is complete or, for a stream,
 // when the stream begins.
 func (f *Forwarder) Forward(ctx context.Context, q *Request) (*Response, *refuser.Refusal) {
-	r := &run{f: f, q: q, lastEventID: q.LastEventID, digest: q.digest()}
+	r := &run{f: f, q: q, lastEventID: q.LastEventID, digest: q.digest(), parts: q.partDigests()}
 	response, refusal := r.start(ctx)
 	if refusal != nil || !response.isStream {
 		r.report(response, refusal)
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -85,7 +85,8 @@
 	client := &scriptedClient{script: script}
 	f, err := New(Config{
 		Clock: clock, BackendClient: client, Placer: placer, Logger: logger, CrashTracker: retrier.New(retrier.Config{Clock: clock}),
-		Meter: noop.Meter{},
+		PartTracker: retrier.NewParts(retrier.PartsConfig{Clock: clock, Judge: placer, Logger: logger}),
+		Meter:       noop.Meter{},
 	})
 	if err != nil {
 		panic(err)
--- a/internal/forwarder/run.go
+++ b/internal/forwarder/run.go
@@ -6,7 +6,10 @@
 	"io"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/quetzalhitch/quetzalhitch/internal/balancer"
+	"github.com/quetzalhitch/quetzalhitch/internal/retrier"
 	"github.com/quetzalhitch/quetzalhitch/internal/routefinder"
 	"github.com/quetzalhitch/quetzalhitch/internal/sender"
 	"github.com/quetzalhitch/quetzalhitch/pkg/refuser"
@@ -33,6 +36,9 @@
 	silenceTimeoutGoals = 3
 	// minSilenceTimeout is the lower bound of this wait.
 	minSilenceTimeout = 300 * time.Millisecond
+	// answerBegunEvents is the number of events after which a server has certainly
+	// begun to answer. One that crashes under a request may send the first ones.
+	answerBegunEvents = 3
 )
 
 // A run is the state of one request while it is served. Only one goroutine uses it.
@@ -56,6 +62,8 @@
 	serverID        string        // ID of the last server.
 	serverLoad      int           // Load of the last server before this request.
 	digest          string        // Digest of the request's content.
+	parts           []retrier.PartDigest
+	onTrial         bool // This request alone may try a quarantined part.
 	finished        bool
 }
 
@@ -74,6 +82,9 @@
 	if answer.Stream == nil {
 		r.release(balancer.OutcomeDone)
 		r.markFirstByte()
+		if answer.Outcome == AnswerSucceeded {
+			r.recordBegunAnswer()
+		}
 		return response, nil
 	}
 	response.isStream = true
@@ -143,6 +154,8 @@
 		return r.refuse(refuser.NoBackendServer, "the backend servers are full", retryAfterFull)
 	case r.f.cfg.CrashTracker.Suspicion(r.digest).Quarantined:
 		return r.refuse(refuser.RequestQuarantined, "backend servers died while they ran this request", 0)
+	case !r.partsAllowed():
+		return r.refuse(refuser.RequestQuarantined, "backend servers crashed before they answered requests with a part of this prompt", 0)
 	}
 	placement, err := r.f.cfg.Placer.Acquire(balancer.Query{
 		Service: r.q.Service,
@@ -166,6 +179,30 @@
 	return nil
 }
 
+// partsAllowed reports whether no part of the prompt is quarantined, or the request may
+// try the part that is.
+func (r *run) partsAllowed() bool {
+	if len(r.parts) == 0 || r.onTrial && r.attempts == 0 {
+		return true
+	}
+	state, part := r.f.cfg.PartTracker.State(r.parts)
+	switch state {
+	case retrier.PartSound:
+		return true
+	case retrier.PartOnTrial:
+		r.onTrial = r.attempts == 0 && r.f.cfg.Trials.Begin(r.ctx, part)
+	}
+	r.f.cfg.Logger.WithFields(logrus.Fields{"request": r.q.ID, "part": part.String(), "on-trial": r.onTrial}).Info("prompt holds a quarantined part")
+	return r.onTrial
+}
+
+// recordBegunAnswer records that a server has begun to answer.
+func (r *run) recordBegunAnswer() {
+	if len(r.parts) > 0 {
+		r.f.cfg.PartTracker.RecordAnswer(r.parts)
+	}
+}
+
 // refuse returns a refusal that states whether the request may have run. Its outcome
 // is refuser.NotRun only if no server received the request or every server that did
 // states that it did not run it.
@@ -219,6 +256,9 @@
 	if indicatesCrash(failure) && r.serverEvents == 0 {
 		r.f.cfg.CrashTracker.RecordCrash(r.digest, r.serverID)
 	}
+	if indicatesCrash(failure) && r.serverEvents < answerBegunEvents && len(r.parts) > 0 {
+		r.f.cfg.PartTracker.RecordLoss(r.parts, r.serverID, r.digest)
+	}
 	r.exclude(outcomeOf(failure))
 }
 
@@ -267,11 +307,17 @@
 			r.markFirstByte()
 			r.events++
 			r.serverEvents++
+			if r.serverEvents == answerBegunEvents {
+				r.recordBegunAnswer()
+			}
 			if event.ID != "" {
 				r.lastEventID = event.ID
 			}
 			return event.Raw, nil
 		case errors.Is(err, io.EOF):
+			if r.serverEvents < answerBegunEvents {
+				r.recordBegunAnswer()
+			}
 			r.finish(balancer.OutcomeDone, nil)
 			return nil, io.EOF
 		}
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -18,6 +18,7 @@
 	"github.com/quetzalhitch/quetzalhitch/internal/enroller"
 	"github.com/quetzalhitch/quetzalhitch/internal/follower"
 	"github.com/quetzalhitch/quetzalhitch/internal/linker"
+	"github.com/quetzalhitch/quetzalhitch/internal/retrier"
 	"github.com/quetzalhitch/quetzalhitch/internal/storer"
 	"github.com/quetzalhitch/quetzalhitch/internal/waiter"
 )
@@ -60,6 +61,8 @@
 	// Waiting are the tokens of the batch items of the instance's jobs that have no
 	// result, on routes that limit them; never nil.
 	Waiting []admitter.Waiting `cbor:"waiting"`
+	// Suspects are the parts of prompts that may crash servers, as the instance knows.
+	Suspects []retrier.PartReport `cbor:"suspects,omitempty"`
 	// Connected reports whether the instance reads its copies from the store itself.
 	Connected bool `cbor:"connected"`
 
@@ -102,6 +105,13 @@
 	RecordWaiting(owner string, waiting []admitter.Waiting)
 }
 
+// Suspects tracks the parts of prompts that may crash servers. *retrier.Parts
+// implements it.
+type Suspects interface {
+	Report() []retrier.PartReport
+	ApplyReports(reports []retrier.PartReport)
+}
+
 // Config holds the dependencies of a gossiper.
 type Config struct {
 	Self      enroller.Member
@@ -111,6 +121,7 @@
 	Sources   map[string]Source // By name.
 	OnReport  func(id string)   // Called for each accepted report of a peer.
 	JobOwners JobOwners
+	Suspects  Suspects
 	Clock     storer.Clock
 	Logger    logrus.FieldLogger
 }
@@ -271,7 +282,7 @@
 	sequence := g.sequence
 	cellName := g.cell.Name
 	g.mu.Unlock()
-	r := Report{Incarnation: g.cfg.Self.Incarnation, CellName: cellName, Sequence: sequence, Loads: g.cfg.Balancer.LocalLoads(), Usages: g.cfg.Quotas.Report(), Versions: map[string]int64{}, Changes: map[string]int64{}, Jobs: g.cfg.JobOwners.NewlyOwnedJobs(), Waiting: g.cfg.JobOwners.WaitingTokens()}
+	r := Report{Incarnation: g.cfg.Self.Incarnation, CellName: cellName, Sequence: sequence, Loads: g.cfg.Balancer.LocalLoads(), Usages: g.cfg.Quotas.Report(), Versions: map[string]int64{}, Changes: map[string]int64{}, Jobs: g.cfg.JobOwners.NewlyOwnedJobs(), Waiting: g.cfg.JobOwners.WaitingTokens(), Suspects: g.cfg.Suspects.Report()}
 	r.Connected = true
 	for name, source := range g.cfg.Sources {
 		r.Versions[name] = source.Version()
@@ -342,6 +353,7 @@
 		g.applyOtherCells(*r.OtherCells)
 	}
 	g.cfg.JobOwners.RecordOwner(id, r.Jobs)
+	g.cfg.Suspects.ApplyReports(r.Suspects)
 	if r.Waiting != nil { // Earlier builds report none.
 		g.cfg.JobOwners.RecordWaiting(id, r.Waiting)
 	}
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -15,6 +15,7 @@
 	"github.com/quetzalhitch/quetzalhitch/internal/enroller"
 	"github.com/quetzalhitch/quetzalhitch/internal/follower"
 	"github.com/quetzalhitch/quetzalhitch/internal/linker"
+	"github.com/quetzalhitch/quetzalhitch/internal/retrier"
 )
 
 const (
@@ -38,6 +39,11 @@
 func (noOwners) WaitingTokens() []admitter.Waiting        { return []admitter.Waiting{} }
 func (noOwners) RecordWaiting(string, []admitter.Waiting) {}
 
+type noSuspects struct{}
+
+func (noSuspects) Report() []retrier.PartReport      { return nil }
+func (noSuspects) ApplyReports([]retrier.PartReport) {}
+
 // A fakeSource records the version that it was told to observe.
 type fakeSource struct{ observed int64 }
 
@@ -66,7 +72,7 @@
 	r.quotas.SetMembers([]string{"b"})
 	r.g = New(Config{
 		Self: enroller.Member{ID: "a", Incarnation: "a1"}, Links: noLinks{}, Balancer: r.balancer, Quotas: r.quotas,
-		OnReport: func(string) {}, JobOwners: noOwners{}, Clock: clock, Logger: logger,
+		OnReport: func(string) {}, JobOwners: noOwners{}, Suspects: noSuspects{}, Clock: clock, Logger: logger,
 		Sources: map[string]Source{"members": r.source},
 	})
 	r.g.SetPeers([]enroller.Member{{ID: "b"}})
