--- a/internal/jobkeeper/queue.go
+++ b/internal/jobkeeper/queue.go
@@ -64,15 +64,15 @@
 		return
 	}
 	crashes, open := t.judgeLosses(k.cfg.Placer.JudgeLoss)
-	switch {
-	case crashes > maxCrashes:
-		k.log(t.job.manifest.Job).WithFields(logrus.Fields{"item": t.item.ID, "crashes": crashes}).Warn("item not run again: backend servers crashed while they ran it")
-		k.cfg.Clock.AfterFunc(k.expiresAt(t.job.manifest, route).Sub(k.now()), func() { s.enqueue(t) })
-		return
-	case crashes+open > maxOpenLosses:
+	if crashes+open > maxOpenLosses && open > 0 {
 		k.cfg.Clock.AfterFunc(verdictInterval, func() { s.enqueue(t) })
 		return
 	}
+	if wait := t.runAllowedAt(crashes).Sub(k.now()); wait > 0 {
+		k.log(t.job.manifest.Job).WithFields(logrus.Fields{"item": t.item.ID, "crashes": crashes, "delay-ms": wait.Milliseconds()}).Info("item delayed: backend servers crashed while they ran it")
+		k.cfg.Clock.AfterFunc(wait, func() { s.enqueue(t) })
+		return
+	}
 	s.forService(route.ChooseService()).push(t)
 }
 
--- a/internal/jobkeeper/task.go
+++ b/internal/jobkeeper/task.go
@@ -33,9 +33,11 @@
 	// first event without a verdict on whether it crashed them. With one more it waits
 	// for the verdicts.
 	maxOpenLosses = 2
-	// maxCrashes is the number of servers that an item may crash. With one more it is
-	// not run again and is dead-lettered when it expires.
-	maxCrashes = 2
+	// freeCrashes is the number of servers that may crash under an item before its runs
+	// become rarer. The item is still owed: the crashes may have had other causes.
+	freeCrashes = 2
+	// maxCrashDelay is the longest delay of a run after servers crashed under the item.
+	maxCrashDelay = 8 * time.Second
 	// verdictInterval is the time between two looks at the verdicts of an item that
 	// waits for them.
 	verdictInterval = 500 * time.Millisecond
@@ -73,7 +75,7 @@
 }
 
 // judgeLosses forgets the losses that the servers survived. It returns the number of
-// servers that the item crashed, and of losses whose verdict is open.
+// servers that crashed under the item, and of losses whose verdict is open.
 func (t *task) judgeLosses(judge func(server string, at time.Time) balancer.LossVerdict) (crashes, open int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -90,6 +92,25 @@
 	return crashes, open
 }
 
+// runAllowedAt returns when the item may run again after servers crashed under it.
+func (t *task) runAllowedAt(crashes int) (at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if crashes <= freeCrashes || len(t.losses) == 0 {
+		return time.Time{}
+	}
+	return t.losses[len(t.losses)-1].at.Add(crashDelay(crashes))
+}
+
+// crashDelay returns the time from the last of several crashes to the next run.
+func crashDelay(crashes int) time.Duration {
+	d := itemRetryDelay
+	for range crashes - freeCrashes {
+		d = min(2*d, maxCrashDelay)
+	}
+	return d
+}
+
 // stop cancels the current run and prevents later ones.
 func (t *task) stop() {
 	t.mu.Lock()
