fix: a message that crashes servers is quarantined in the product's interface

What callers would see: requests with the same system message, no two alike, crash engine after engine; each of them counts as a new request there as well.

Change: the messages of a completion but the last are parts of its prompt, tracked by retrier.Parts as on the platform. Entries report news of parts to all peers (a new kind of message, which earlier builds refuse); the quarantine and its trials are keys in the platform. A server may count again after its restart under the same name, as all do here, so crashes have to be under different requests but not of different servers.

--- a/internal/acceptor/completion.go
+++ b/internal/acceptor/completion.go
@@ -14,11 +14,18 @@
 // next turn goes to the engine that has the conversation in its cache.
 const prefixBytes = 512
 
+// maxSharedParts bounds the messages of one request that are tracked as parts of its
+// prompt. Those that many requests share stand at the beginning.
+const maxSharedParts = 16
+
 // A Completion holds the fields of a completion request that routing uses.
 type Completion struct {
 	Model  string
 	Stream bool
 	Prefix string // First bytes of messages or prompt, as raw JSON.
+	// SharedParts are the first messages but the last one, which other requests may
+	// have too, as compact JSON; at most maxSharedParts.
+	SharedParts []string
 }
 
 func badRequest(message string) *refuser.Refusal {
@@ -47,9 +54,26 @@
 		prompt = fields["prompt"]
 	}
 	c.Prefix = string(prompt[:min(len(prompt), prefixBytes)])
+	c.SharedParts = sharedParts(fields["messages"])
 	return c, nil
 }
 
+// sharedParts returns the first messages but the last one. Engines decide whether
+// messages that are no list are valid.
+func sharedParts(messages json.RawMessage) (parts []string) {
+	var list []json.RawMessage
+	if json.Unmarshal(messages, &list) != nil || len(list) == 0 {
+		return nil
+	}
+	for _, message := range list[:min(len(list)-1, maxSharedParts)] {
+		var compact bytes.Buffer
+		if json.Compact(&compact, message) == nil {
+			parts = append(parts, compact.String())
+		}
+	}
+	return parts
+}
+
 // topLevelFields splits a JSON object into its fields.
 func topLevelFields(body []byte) (map[string]json.RawMessage, *refuser.Refusal) {
 	decoder := json.NewDecoder(bytes.NewReader(body))
--- a/internal/acceptor/online.go
+++ b/internal/acceptor/online.go
@@ -45,7 +45,7 @@
 		return refusal
 	}
 	q.Path = string(c.Request().URI().PathOriginal())
-	q.Prefix, q.Stream = completion.Prefix, completion.Stream
+	q.Prefix, q.Stream, q.SharedParts = completion.Prefix, completion.Stream, completion.SharedParts
 	route, refusal := a.completionRoute(c.Get(headerRoute), completion.Model)
 	return a.authorise(c, q, route, refusal)
 }
--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -21,10 +21,14 @@
 	release  func()
 }
 
+// answerBegunEvents is the number of events after which a server has certainly begun to
+// answer. One that crashes under a request may send the first ones.
+const answerBegunEvents = 3
+
 // tryServers makes attempts until one succeeds or no further attempt is allowed.
 func (r *run) tryServers(ctx context.Context) *refuser.Refusal {
 	for {
-		if refusal := r.checkQuarantine(); refusal != nil {
+		if refusal := r.checkQuarantine(ctx); refusal != nil {
 			return refusal
 		}
 		a, refusal := r.acquireServer(ctx)
@@ -166,7 +170,10 @@
 	if err := r.writer.Begin(head); r.endsRun(err) {
 		return writerError{err}
 	}
-	for err == nil {
+	for n := 1; err == nil; n++ {
+		if n == answerBegunEvents {
+			r.markAnswerBegun()
+		}
 		r.record(event)
 		if err := r.writer.Event(event); r.endsRun(err) {
 			return writerError{err}
@@ -184,6 +191,7 @@
 // suspicion that it crashes servers.
 func (r *run) markCompleted() {
 	r.completed = true
+	r.markAnswerBegun()
 	r.dispatcher.cfg.Retrier.ClearSuspicion(r.digest)
 }
 
@@ -221,7 +229,10 @@
 	r.dispatched = r.dispatched || failure.Dispatched
 	r.triedServers = append(r.triedServers, s.Name())
 	r.dispatcher.instruments.countFailure(r.request.Route.Name, failure.Cause)
-	r.dispatcher.handleServerFailure(ctx, s, failure, r.digest)
+	crashed := r.dispatcher.handleServerFailure(ctx, s, failure, r.digest)
+	if crashed && !r.answerBegun && len(r.parts) > 0 {
+		r.dispatcher.cfg.Parts.RecordLoss(r.parts, s.Name(), r.digest)
+	}
 	if failure.Cause == sender.CauseCancelled {
 		return r.cancellationRefusal(ctx)
 	}
--- a/internal/dispatcher/dispatch.go
+++ b/internal/dispatcher/dispatch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/quetzalhitch/quetzalhitch/internal/registrar"
+	"github.com/quetzalhitch/quetzalhitch/internal/retrier"
 	"github.com/quetzalhitch/quetzalhitch/internal/sender"
 	"github.com/quetzalhitch/quetzalhitch/pkg/refuser"
 )
@@ -25,7 +26,8 @@
 	writer     Writer
 	outbound   sender.Request
 	pool       string
-	digest     string // Content digest of the request.
+	digest     string               // Content digest of the request.
+	parts      []retrier.PartDigest // Shared parts of the prompt.
 	started    time.Time
 	deadline   time.Time // For the first byte of the answer.
 
@@ -34,6 +36,8 @@
 	dispatched    bool     // An attempt was dispatched.
 	answerStarted bool     // A part of the answer was sent to the caller.
 	completed     bool     // The answer was read to its end.
+	answerBegun   bool     // The server has certainly begun to answer.
+	onTrial       bool     // This request alone may try a quarantined part.
 	intent        *Intent  // Set if this request has to record the end of the intent.
 	recorded      RecordedAnswer
 }
@@ -54,6 +58,9 @@
 	r := &run{dispatcher: d, request: q, writer: w, outbound: q.outbound(), pool: registrar.PoolName(q.Route), started: now}
 	r.deadline = now.Add(deadlineOf(time.Duration(q.Route.Deadline)))
 	r.digest = contentOf(r.pool, r.outbound).Digest()
+	for _, part := range q.SharedParts {
+		r.parts = append(r.parts, retrier.DigestPart(r.pool, part))
+	}
 	return r
 }
 
@@ -85,7 +92,7 @@
 	if refusal := r.checkKeys(); refusal != nil {
 		return refusal
 	}
-	if refusal := r.checkQuarantine(); refusal != nil {
+	if refusal := r.checkQuarantine(ctx); refusal != nil {
 		return refusal
 	}
 	if refusal := r.admit(ctx); refusal != nil {
@@ -116,10 +123,10 @@
 	}
 }
 
-func (r *run) checkQuarantine() *refuser.Refusal {
+func (r *run) checkQuarantine(ctx context.Context) *refuser.Refusal {
 	s := r.dispatcher.cfg.Retrier.Suspicion(r.digest)
 	if !s.Quarantined {
-		return nil
+		return r.checkParts(ctx)
 	}
 	r.logDecision("quarantine", "refused")
 	refusal := refuser.New(refuser.RequestQuarantined, r.outcome(), "backend servers died while they ran this request")
@@ -127,6 +134,32 @@
 	return refusal
 }
 
+// checkParts refuses a request with a quarantined part, unless it may try the part.
+func (r *run) checkParts(ctx context.Context) *refuser.Refusal {
+	if len(r.parts) == 0 || r.onTrial && r.attempts == 0 {
+		return nil
+	}
+	state, part := r.dispatcher.cfg.Parts.State(r.parts)
+	if state == retrier.PartSound {
+		return nil
+	}
+	if state == retrier.PartOnTrial && r.attempts == 0 && r.dispatcher.cfg.Trials.Begin(ctx, part) {
+		r.onTrial = true
+		r.logDecision("quarantine", "trial")
+		return nil
+	}
+	r.logDecision("quarantine", "refused-part")
+	return refuser.New(refuser.RequestQuarantined, r.outcome(), "backend servers died before they answered requests with a part of this prompt")
+}
+
+// markAnswerBegun records that a server has begun to answer.
+func (r *run) markAnswerBegun() {
+	if !r.answerBegun && len(r.parts) > 0 {
+		r.dispatcher.cfg.Parts.RecordAnswer(r.parts)
+	}
+	r.answerBegun = true
+}
+
 func (r *run) admit(ctx context.Context) *refuser.Refusal {
 	if r.request.Workspace == "" {
 		return nil
--- a/internal/dispatcher/dispatch_test.go
+++ b/internal/dispatcher/dispatch_test.go
@@ -206,6 +206,34 @@
 	assertAnswered(t, r, completion("marker:after", 5, false), "after-4 ")
 }
 
+// Guards against requests that share one part of their prompts, no two alike, and crash
+// engine after engine, and against sound requests with the other parts that are refused.
+func TestCrashingPart(t *testing.T) {
+	const maxCrashes = 5
+	r := newRig(t, 12, 0)
+	for _, e := range r.engines {
+		e.SetFault(engineemulator.Fault{CrashOn: "poison"})
+	}
+	var refusal *refuser.Refusal
+	for n := range 8 {
+		q := completion(fmt.Sprintf("poison %d", n), 5, true)
+		q.SharedParts = []string{"first", "poison"}
+		refusal = r.Dispatch(context.Background(), q, &recordingWriter{})
+		assert.Assert(t, refusal != nil)
+		time.Sleep(300 * time.Millisecond)
+		sound := completion(fmt.Sprintf("marker:sound-%d", n), 5, true)
+		sound.SharedParts = []string{"first"}
+		assertAnswered(t, r, sound, fmt.Sprintf("sound-%d-4 ", n))
+	}
+	assert.Equal(t, refusal.Code, refuser.RequestQuarantined)
+	assert.Equal(t, refusal.Outcome, refuser.NotRun)
+	crashes := 0
+	for _, e := range r.engines {
+		crashes += len(e.Journal().Containing("poison"))
+	}
+	assert.Assert(t, crashes <= maxCrashes, "%d engines crashed", crashes)
+}
+
 // Guards against idempotent requests that fail when one of two servers stops
 // although the other can run them, and against no-server refusals while the
 // other server is reserved for a suspect.
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -85,6 +85,8 @@
 	Fleet    *registrar.Fleet
 	Router   chooser
 	Retrier  *retrier.Retrier
+	Parts    partTracker
+	Trials   trials
 	Sender   transport
 	Prober   prober
 	Admitter admitter
@@ -104,6 +106,20 @@
 	OnCapacityFreed func()
 }
 
+// A partTracker records which parts of prompts backend servers crashed on.
+// *retrier.Parts implements it.
+type partTracker interface {
+	RecordAnswer(parts []retrier.PartDigest)
+	RecordLoss(parts []retrier.PartDigest, server, request string)
+	State(parts []retrier.PartDigest) (retrier.PartState, retrier.PartDigest)
+}
+
+// trials decides which request may try whether a quarantined part still crashes
+// servers.
+type trials interface {
+	Begin(ctx context.Context, part retrier.PartDigest) bool
+}
+
 // A Dispatcher runs requests and batch items on backend servers.
 type Dispatcher struct {
 	cfg         Config
--- a/internal/dispatcher/isolation.go
+++ b/internal/dispatcher/isolation.go
@@ -195,7 +195,7 @@
 }
 
 func (r *run) reacquire(ctx context.Context) (assignment, *refuser.Refusal) {
-	if refusal := r.checkQuarantine(); refusal != nil {
+	if refusal := r.checkQuarantine(ctx); refusal != nil {
 		return assignment{}, refusal
 	}
 	return r.acquireServer(ctx)
--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -19,8 +19,9 @@
 	Body           []byte
 	Keys           []string // API keys in the request; never sent to backend servers.
 	IdempotencyKey string
-	Prefix         string // Start of the prompt.
-	Stream         bool   // The caller asked for a stream.
+	Prefix         string   // Start of the prompt.
+	SharedParts    []string // Parts of the prompt that other requests may share.
+	Stream         bool     // The caller asked for a stream.
 }
 
 // outbound returns the request as sent to backend servers.
--- a/internal/dispatcher/rig_test.go
+++ b/internal/dispatcher/rig_test.go
@@ -130,6 +130,7 @@
 		Fleet:              r.fleet,
 		Router:             router.New(router.Config{FailureDomain: "a"}),
 		Retrier:            retrier.New(retrier.Config{Clock: clock}),
+		Parts:              retrier.NewParts(retrier.PartsConfig{Clock: clock, Judge: retrier.ConfirmedLosses{}, Logger: logger}),
 		Sender:             send,
 		Prober:             sender.NewProber(sender.ProberConfig{Fleet: r.fleet, Sender: send, Clock: clock}),
 		Admitter:           &r.admitter,
--- a/internal/dispatcher/serverfailure.go
+++ b/internal/dispatcher/serverfailure.go
@@ -15,7 +15,7 @@
 // the request after a failed exchange. A lost connection is followed by a probe
 // before any retry: if the server crashed, the request is a suspect and must not
 // run beside other requests.
-func (d *Dispatcher) handleServerFailure(ctx context.Context, s *registrar.Server, f *sender.Failure, digest string) {
+func (d *Dispatcher) handleServerFailure(ctx context.Context, s *registrar.Server, f *sender.Failure, digest string) (crashed bool) {
 	failedAt := d.cfg.Clock.Now()
 	switch f.Cause {
 	case sender.CauseDial:
@@ -23,11 +23,13 @@
 	case sender.CauseConnectionLost:
 		if d.probe(ctx, s, failedAt) == sender.ConditionDead {
 			d.cfg.Retrier.RecordCrash(digest, s.Name())
+			return true
 		}
 	case sender.CauseTimeout:
 		ctx := context.WithoutCancel(ctx)
 		d.background.Go(func() { d.probe(ctx, s, failedAt) })
 	}
+	return false
 }
 
 // probe checks the server even if the context of the request has ended.
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -55,6 +55,7 @@
 	KindSnapshotRequest Kind = "snapshot-request"
 	KindStore           Kind = "store"
 	KindSuspect         Kind = "suspect"
+	KindSuspectParts    Kind = "suspect-parts"
 	KindYield           Kind = "yield"
 )
 
--- a/internal/prover/crash_test.go
+++ b/internal/prover/crash_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
@@ -72,6 +74,42 @@
 	})
 }
 
+// Guards against requests that share one message, no two alike, and crash server after
+// server at whichever entry they come.
+func TestCrashingPartIsQuarantined(t *testing.T) {
+	const maxPartCrashes = 5
+	d := startTestDeployment(t, testDeploymentConfig{engines: 2, workspaces: highRateWorkspaces})
+	key := d.keys["packing"]
+	engines := []string{"engine-a1", "engine-a2", "engine-b1", "engine-b2"}
+	for _, engine := range engines {
+		d.setFault(engine, engineemulator.Fault{CrashOn: poison, Exit: true})
+	}
+	withSystem := func(system, marker string) request {
+		r := chat(key, marker, 5, true)
+		r.body = strings.Replace(r.body, `"messages":[`, fmt.Sprintf(`"messages":[{"role":"system","content":%q},`, system), 1)
+		return r
+	}
+	crashes := 0
+	var last answer
+	for n := range 6 {
+		last = d.mustCall(d.Entries[n%len(d.Entries)].ID, withSystem(poison, fmt.Sprintf("bad-%d", n)))
+		time.Sleep(time.Second) // Reports to all entries.
+		crashes += d.restartCrashed(engines)
+		time.Sleep(time.Second) // Probes find the restarted servers.
+	}
+	assert.Assert(t, crashes > 0 && crashes <= maxPartCrashes, "%d servers crashed", crashes)
+	assertRefused(t, last, "request-quarantined", "not-run")
+	for _, e := range d.Entries {
+		assertOK(t, d.mustCall(e.ID, withSystem("sound", "good-"+e.ID)))
+	}
+	t.Run("a restarted entry knows the quarantine", func(t *testing.T) {
+		assert.NilError(t, d.Restart(t.Context(), "entry-b1"))
+		assert.NilError(t, d.Entry("entry-b1").WaitReady(t.Context()))
+		d.awaitAdmission("entry-b1", "packing")
+		assertRefused(t, d.mustCall("entry-b1", withSystem(poison, "bad-again")), "request-quarantined", "not-run")
+	})
+}
+
 // restartCrashed restarts crashed servers and counts them.
 func (d *testDeployment) restartCrashed(servers []string) (crashes int) {
 	d.t.Helper()
--- a/internal/quarantiner/parts.go
+++ b/internal/quarantiner/parts.go
@@ -25,8 +25,6 @@
 	partTTL = 10 * time.Minute
 	// syncRetryDelay is the time between two attempts to store quarantines.
 	syncRetryDelay = time.Second
-	// idleSyncDelay is the time between two syncs if nothing changes.
-	idleSyncDelay = time.Minute
 )
 
 // A PartStore is the part of the platform's store that Parts needs.
@@ -35,6 +33,11 @@
 	GrantLease(ctx context.Context, ttl time.Duration) (storer.Lease, error)
 }
 
+// A PartLister lists the quarantines in the store.
+type PartLister interface {
+	List(ctx context.Context, prefix string) ([]storer.Entry, error)
+}
+
 // A PartTracker decides which parts of prompts are quarantined. *retrier.Parts
 // implements it.
 type PartTracker interface {
@@ -48,6 +51,7 @@
 type PartsConfig struct {
 	Prefix  string // Key prefix of the quarantines.
 	Store   PartStore
+	Lister  PartLister // Nil if ApplyEntries is called with each change.
 	Tracker PartTracker
 	Clock   storer.Clock
 	Logger  logrus.FieldLogger
@@ -91,9 +95,10 @@
 func (p *Parts) sync(ctx context.Context) time.Duration {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	p.list(ctx)
 	versions := p.knownVersions()
 	store, remove := p.cfg.Tracker.Unstored()
-	next := idleSyncDelay
+	next := syncInterval
 	for _, q := range store {
 		if err := p.write(ctx, q, versions[q.Part]); err != nil {
 			next = syncRetryDelay
@@ -107,6 +112,19 @@
 	return next
 }
 
+// list applies the quarantines in the store if nobody else does.
+func (p *Parts) list(ctx context.Context) {
+	if p.cfg.Lister == nil {
+		return
+	}
+	entries, err := p.cfg.Lister.List(ctx, p.cfg.Prefix)
+	if err != nil {
+		p.cfg.Logger.WithError(err).Debug("listing quarantined parts in the platform failed")
+		return
+	}
+	p.ApplyEntries(follower.Snapshot{Entries: entries})
+}
+
 // Begin implements forwarder.Trials. It replaces the quarantine that the tracker knows,
 // so that of several instances one succeeds.
 func (p *Parts) Begin(ctx context.Context, part retrier.PartDigest) bool {
--- a/internal/retrier/partreports.go
+++ b/internal/retrier/partreports.go
@@ -2,13 +2,23 @@
 
 import "time"
 
-// Report returns what peers have to know: the parts that are quarantined or on trial,
-// and those with news of the last partReportTime.
-func (p *Parts) Report() (reports []PartReport) {
+// Report returns the parts that are quarantined or on trial, and those with news.
+func (p *Parts) Report() []PartReport {
+	return p.reports(func(rec *partRecord, now time.Time) bool {
+		return rec.hasNews(now) || len(rec.counted()) >= crashesToSuspectPart && rec.quarantined(now)
+	})
+}
+
+// News returns the parts of which something became known within partReportTime.
+func (p *Parts) News() []PartReport { return p.reports((*partRecord).hasNews) }
+
+func (rec *partRecord) hasNews(now time.Time) bool { return now.Sub(rec.changedAt) < partReportTime }
+
+func (p *Parts) reports(included func(rec *partRecord, now time.Time) bool) (reports []PartReport) {
 	now := p.cfg.Clock.Now()
 	for _, d := range p.suspects() {
 		p.update(d, now, false, func(rec *partRecord) {
-			if now.Sub(rec.changedAt) < partReportTime || len(rec.counted()) >= crashesToSuspectPart && rec.quarantined(now) {
+			if included(rec, now) {
 				reports = append(reports, rec.report(d, now))
 			}
 		})
--- a/internal/retrier/parts.go
+++ b/internal/retrier/parts.go
@@ -92,6 +92,16 @@
 	Crashed(server string, at time.Time) bool
 }
 
+// ConfirmedLosses is the judge where only losses of servers that have crashed are
+// recorded.
+type ConfirmedLosses struct{}
+
+// Survived implements LossJudge.
+func (ConfirmedLosses) Survived(string, time.Time) bool { return false }
+
+// Crashed implements LossJudge.
+func (ConfirmedLosses) Crashed(string, time.Time) bool { return true }
+
 // Parts tracks the parts of prompts that may crash each server that begins to answer a
 // request with them, whatever else the request holds. A part is quarantined when
 // several servers crashed before they answered different requests with it, and none
@@ -278,15 +288,15 @@
 	return true
 }
 
-// counted returns the crashes since the last answer that count: of different servers,
-// under different requests, and crashSpacing apart.
+// counted returns the crashes since the last answer that count: under different
+// requests, and crashSpacing apart.
 func (rec *partRecord) counted() (counted []partCrash) {
 	for _, c := range rec.crashes {
 		if !c.at.After(rec.answeredAt) {
 			continue
 		}
 		related := slices.ContainsFunc(counted, func(other partCrash) bool {
-			return other.server == c.server || other.request == c.request || c.at.Sub(other.at) < crashSpacing
+			return other.request == c.request || c.at.Sub(other.at) < crashSpacing
 		})
 		if !related {
 			counted = append(counted, c)
--- a/internal/runner/assemble.go
+++ b/internal/runner/assemble.go
@@ -46,6 +46,9 @@
 	prober        *sender.Prober
 	retrier       *retrier.Retrier
 	quarantiner   *quarantiner.Quarantiner
+	parts         *retrier.Parts
+	partKeeper    *quarantiner.Parts
+	partAnnouncer *partAnnouncer
 	recorder      *recorder.Recorder
 	dispatcher    *dispatcher.Dispatcher
 	folder        *archiver.Folder // Nil without a disk.
@@ -67,6 +70,8 @@
 		{name: "heartbeater", starter: c.heartbeater},
 		{name: "prober", starter: c.prober},
 		{name: "quarantiner", starter: c.quarantiner},
+		{name: "part quarantiner", starter: c.partKeeper},
+		{name: "part announcer", starter: c.partAnnouncer},
 		{name: "recorder", starter: c.recorder},
 		{name: "spreader", starter: c.broadcaster},
 	}
@@ -238,6 +243,12 @@
 		Logger:  e.options.Logger,
 	})
 	c.broadcaster.observe = c.quarantiner.Observe
+	c.parts = retrier.NewParts(retrier.PartsConfig{Clock: e.options.Clock, Judge: retrier.ConfirmedLosses{}, Logger: e.options.Logger})
+	c.partKeeper = quarantiner.NewParts(quarantiner.PartsConfig{
+		Prefix: partQuarantinesPrefix, Store: quarantiner.SingleKeyStore{KeyStore: c.store}, Lister: c.store, Tracker: c.parts,
+		Clock: e.options.Clock, Logger: e.options.Logger,
+	})
+	c.partAnnouncer = &partAnnouncer{parts: c.parts, broadcaster: c.broadcaster, clock: e.options.Clock}
 	c.recorder = recorder.New(e.settings.InstanceID, e.options.Clock.Now().UnixNano(), c.store, e.options.Clock)
 
 	admission := &admissionAdapter{admitter: c.policies.admitter, borrower: c.leaser.Borrower()}
@@ -245,6 +256,8 @@
 		Fleet:              c.fleet,
 		Router:             c.policies.chooser,
 		Retrier:            c.retrier,
+		Parts:              c.parts,
+		Trials:             c.partKeeper,
 		Sender:             c.sender,
 		Prober:             c.prober,
 		Admitter:           admission,
@@ -262,6 +275,7 @@
 		return err
 	}
 	c.links.Handle(linker.KindSuspect, suspectHandler(c.retrier))
+	c.links.Handle(linker.KindSuspectParts, partsHandler(c.parts))
 	c.links.Handle(linker.KindYield, preemptionHandler(c.dispatcher.PreemptForPeer))
 	return nil
 }
