fix: a trial of a quarantined part makes one attempt

The second attempt of a request on trial saw the quarantine that its first one had renewed, but not that it was no trial any more, and crashed one more server. Found by the case "a trial makes one attempt" of TestQuarantinedPart, which failed in 6 of 30 runs: its servers crashed within two seconds again, which counts as one crash. They take longer now, with which it fails each time without this change and passes 20 of 20 runs with it.

--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -229,7 +229,7 @@
 		r.f.cfg.Trials = &oneTrial{}
 		for n := range 3 {
 			assert.Assert(t, send(r, n, "first", "deadly") != nil)
-			r.clock.Advance(time.Second)
+			r.clock.Advance(restartTime)
 		}
 		return r
 	}
@@ -265,6 +265,9 @@
 	})
 }
 
+// restartTime is the time after which a server that crashed runs again.
+const restartTime = 3 * time.Second
+
 // crashJudge judges that every server that drops a request has crashed.
 type crashJudge struct{}
 
--- a/internal/forwarder/run.go
+++ b/internal/forwarder/run.go
@@ -186,12 +186,10 @@
 		return true
 	}
 	state, part := r.f.cfg.PartTracker.State(r.parts)
-	switch state {
-	case retrier.PartSound:
+	if state == retrier.PartSound {
 		return true
-	case retrier.PartOnTrial:
-		r.onTrial = r.attempts == 0 && r.f.cfg.Trials.Begin(r.ctx, part)
 	}
+	r.onTrial = state == retrier.PartOnTrial && r.attempts == 0 && r.f.cfg.Trials.Begin(r.ctx, part)
 	r.f.cfg.Logger.WithFields(logrus.Fields{"request": r.q.ID, "part": part.String(), "on-trial": r.onTrial}).Info("prompt holds a quarantined part")
 	return r.onTrial
 }
