fix: a request that crashes servers is known to the whole fleet

Besides, two lost connections to servers that crashed for other reasons refused a content for ten minutes at that instance, however often it was answered later.

Change: the whole content is tracked like a part, over the fleet and in the store, with trials, and is cleared by an answer. The count of one request's own losses remains, for that request.

Evidence: the case "the same content at another instance" fails without it.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -6,6 +6,8 @@
 
 import (
 	"context"
+	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -59,13 +61,14 @@
 	return retrier.Content{Scope: q.Workspace, Method: q.Method, Path: q.Target, Body: q.Body}.Digest()
 }
 
-// partDigests returns the digests of the shared parts of the prompt.
-func (q *Request) partDigests() []retrier.PartDigest {
-	parts := make([]retrier.PartDigest, 0, len(q.SharedParts))
+// suspectParts returns the digests of what may crash servers: the shared parts of the
+// prompt, and last the whole content.
+func (q *Request) suspectParts() []retrier.PartDigest {
+	parts := make([]retrier.PartDigest, 0, len(q.SharedParts)+1)
 	for _, id := range q.SharedParts {
 		parts = append(parts, retrier.DigestPart(q.Service, id))
 	}
-	return parts
+	return append(parts, retrier.DigestPart(q.Service+"\x00content", q.digest()))
 }
 
 // An Attempt is one try to run a request on a backend server.
@@ -111,16 +114,16 @@
 	Acquire(q balancer.Query) (*balancer.Placement, error)
 }
 
-// CrashTracker records which request contents backend servers crashed on.
-// *retrier.Retrier implements it.
+// CrashTracker records which requests backend servers dropped. *retrier.Retrier
+// implements it.
 type CrashTracker interface {
-	ClearSuspicion(digest string)
-	RecordCrash(digest, server string) retrier.Suspicion
-	Suspicion(digest string) retrier.Suspicion
+	ClearSuspicion(request string)
+	RecordCrash(request, server string) retrier.Suspicion
+	Suspicion(request string) retrier.Suspicion
 }
 
-// PartTracker records which parts of prompts backend servers crashed on.
-// *retrier.Parts implements it.
+// PartTracker records on which parts of prompts, and on which whole contents, backend
+// servers crashed. *retrier.Parts implements it.
 type PartTracker interface {
 	RecordAnswer(parts []retrier.PartDigest)
 	RecordLoss(parts []retrier.PartDigest, server, request string)
@@ -158,6 +161,7 @@
 type Forwarder struct {
 	cfg         Config
 	instruments *instruments
+	runs        atomic.Uint64 // Number of requests so far.
 }
 
 // New returns a forwarder.
@@ -180,7 +184,7 @@
 // Forward serves a request. It returns when the answer is complete or, for a stream,
 // when the stream begins.
 func (f *Forwarder) Forward(ctx context.Context, q *Request) (*Response, *refuser.Refusal) {
-	r := &run{f: f, q: q, lastEventID: q.LastEventID, digest: q.digest(), parts: q.partDigests()}
+	r := &run{f: f, q: q, lastEventID: q.LastEventID, id: strconv.FormatUint(f.runs.Add(1), 10), digest: q.digest(), parts: q.suspectParts()}
 	response, refusal := r.start(ctx)
 	if refusal != nil || !response.isStream {
 		r.report(response, refusal)
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"strconv"
 	"testing"
 	"time"
 
@@ -211,7 +212,7 @@
 	cut := streamEvents(&sender.Failure{Cause: sender.CauseTruncated, Dispatched: true, Err: io.ErrUnexpectedEOF}, "1")
 	send := func(r *fixture, n int, parts ...string) *refuser.Refusal {
 		response, refusal := r.f.Forward(context.Background(), &Request{
-			ID: "q", Route: &resumableRoute, Service: "s", Method: "POST", Target: "/x", Body: []byte{byte(n)}, SharedParts: parts,
+			ID: strconv.Itoa(len(r.client.attempts)), Route: &resumableRoute, Service: "s", Method: "POST", Target: "/x", Body: []byte{byte(n)}, SharedParts: parts,
 			ArrivedAt: r.clock.Now(), Deadline: r.clock.Now().Add(5 * time.Second),
 		})
 		for refusal == nil {
@@ -248,6 +249,24 @@
 		r.client.script = []func(Attempt) (*Answer, error){streamEvents(io.EOF, "1", "2", "3")}
 		assert.Assert(t, send(r, 9, "other") == nil)
 	})
+	// Guards against a request that comes again, at any machine, and crashes servers at
+	// each instance anew (lh-order-desk with nine instances: 19 servers).
+	t.Run("the same content at another instance", func(t *testing.T) {
+		a, b := newFixture(lost), newFixture(lost)
+		trackers := map[*fixture]*retrier.Parts{}
+		for _, r := range []*fixture{a, b} {
+			trackers[r] = retrier.NewParts(retrier.PartsConfig{Clock: a.clock, Judge: crashJudge{}, Logger: a.f.cfg.Logger})
+			r.f.cfg.PartTracker = trackers[r]
+		}
+		for range 3 {
+			assert.Assert(t, send(a, 1) != nil)
+			a.clock.Advance(restartTime)
+		}
+		trackers[b].ApplyReports(trackers[a].Report())
+		assert.Equal(t, send(b, 1).Outcome, refuser.NotRun)
+		assert.Equal(t, len(b.client.attempts), 0)
+		assert.Equal(t, send(b, 2).Outcome, refuser.Unknown, "another content is refused")
+	})
 	t.Run("a trial makes one attempt", func(t *testing.T) {
 		r := crashedBy(t, lost)
 		r.clock.Advance(time.Minute)
--- a/internal/forwarder/run.go
+++ b/internal/forwarder/run.go
@@ -56,14 +56,15 @@
 	events          int      // Events passed to the caller.
 	serverEvents    int      // Events passed to the caller from the current server.
 	resumes         int
-	firstByte       time.Duration // From arrival to the first byte passed to the caller.
-	lastCause       string        // Cause of the last failure.
-	lastFailure     *Answer       // The last answer with AnswerFailed.
-	serverID        string        // ID of the last server.
-	serverLoad      int           // Load of the last server before this request.
-	digest          string        // Digest of the request's content.
-	parts           []retrier.PartDigest
-	onTrial         bool // This request alone may try a quarantined part.
+	firstByte       time.Duration        // From arrival to the first byte passed to the caller.
+	lastCause       string               // Cause of the last failure.
+	lastFailure     *Answer              // The last answer with AnswerFailed.
+	serverID        string               // ID of the last server.
+	serverLoad      int                  // Load of the last server before this request.
+	id              string               // Unique at this instance.
+	digest          string               // Digest of the request's content.
+	parts           []retrier.PartDigest // Shared parts of the prompt, and last the whole content.
+	onTrial         bool                 // This request alone may try a quarantined part.
 	finished        bool
 }
 
@@ -152,10 +153,10 @@
 		return r.refuse(refuser.UpstreamFailed, "no backend server gave a whole answer", 0)
 	case r.refusedAttempts >= maxRefusedAttempts:
 		return r.refuse(refuser.NoBackendServer, "the backend servers are full", retryAfterFull)
-	case r.f.cfg.CrashTracker.Suspicion(r.digest).Quarantined:
+	case r.f.cfg.CrashTracker.Suspicion(r.id).Quarantined:
 		return r.refuse(refuser.RequestQuarantined, "backend servers died while they ran this request", 0)
 	case !r.partsAllowed():
-		return r.refuse(refuser.RequestQuarantined, "backend servers crashed before they answered requests with a part of this prompt", 0)
+		return r.refuse(refuser.RequestQuarantined, "backend servers crashed before they answered this request or others with a part of its prompt", 0)
 	}
 	placement, err := r.f.cfg.Placer.Acquire(balancer.Query{
 		Service: r.q.Service,
@@ -182,7 +183,7 @@
 // partsAllowed reports whether no part of the prompt is quarantined, or the request may
 // try the part that is.
 func (r *run) partsAllowed() bool {
-	if len(r.parts) == 0 || r.onTrial && r.attempts == 0 {
+	if r.onTrial && r.attempts == 0 {
 		return true
 	}
 	state, part := r.f.cfg.PartTracker.State(r.parts)
@@ -190,15 +191,13 @@
 		return true
 	}
 	r.onTrial = state == retrier.PartOnTrial && r.attempts == 0 && r.f.cfg.Trials.Begin(r.ctx, part)
-	r.f.cfg.Logger.WithFields(logrus.Fields{"request": r.q.ID, "part": part.String(), "on-trial": r.onTrial}).Info("prompt holds a quarantined part")
+	r.f.cfg.Logger.WithFields(logrus.Fields{"request": r.q.ID, "part": part.String(), "on-trial": r.onTrial}).Info("request holds a quarantined part")
 	return r.onTrial
 }
 
 // recordBegunAnswer records that a server has begun to answer.
 func (r *run) recordBegunAnswer() {
-	if len(r.parts) > 0 {
-		r.f.cfg.PartTracker.RecordAnswer(r.parts)
-	}
+	r.f.cfg.PartTracker.RecordAnswer(r.parts)
 }
 
 // refuse returns a refusal that states whether the request may have run. Its outcome
@@ -252,14 +251,22 @@
 		r.refusedAttempts++
 	}
 	if indicatesCrash(failure) && r.serverEvents == 0 {
-		r.f.cfg.CrashTracker.RecordCrash(r.digest, r.serverID)
+		r.f.cfg.CrashTracker.RecordCrash(r.id, r.serverID)
 	}
-	if endedWithConnection(failure) && r.serverEvents < answerBegunEvents && len(r.parts) > 0 {
-		r.f.cfg.PartTracker.RecordLoss(r.parts, r.serverID, r.digest)
+	if endedWithConnection(failure) && r.serverEvents < answerBegunEvents {
+		r.recordLoss()
 	}
 	r.exclude(outcomeOf(failure))
 }
 
+// recordLoss records that the server dropped the request before it certainly had begun
+// to answer. A part counts once under one content; the content counts at each server.
+func (r *run) recordLoss() {
+	shared, content := r.parts[:len(r.parts)-1], r.parts[len(r.parts)-1:]
+	r.f.cfg.PartTracker.RecordLoss(shared, r.serverID, r.digest)
+	r.f.cfg.PartTracker.RecordLoss(content, r.serverID, r.q.ID+" at "+r.serverID)
+}
+
 // indicatesCrash reports whether the failure looks like a crash of the server. A
 // request that crashes servers does so before its first event.
 func indicatesCrash(f *sender.Failure) bool {
@@ -364,7 +371,7 @@
 	r.finished = true
 	r.release(outcome)
 	if outcome == balancer.OutcomeDone && refusal == nil {
-		r.f.cfg.CrashTracker.ClearSuspicion(r.digest)
+		r.f.cfg.CrashTracker.ClearSuspicion(r.id)
 	}
 	r.report(nil, refusal)
 }
