fix: items of the product's batch jobs outlive crashes of servers

What callers would see: an item under which two servers crashed was refused as quarantined, which used up its three tries, and was answered as failed.

Change: a try under which the server crashed does not count and is followed by a delay that doubles up to 30 s; an item under which servers crashed is run alone on a server also while its content is quarantined.

--- a/internal/batcher/batcher.go
+++ b/internal/batcher/batcher.go
@@ -32,6 +32,9 @@
 	ErrNoCapacity = merry.Sentinel("no capacity for batch items")
 	// ErrPreempted means that the item was preempted by online work.
 	ErrPreempted = merry.Sentinel("batch item preempted by online work")
+	// ErrServerCrashed means that the backend server crashed while it ran the item. The
+	// item is still owed, and is run again after a growing delay.
+	ErrServerCrashed = merry.Sentinel("the backend server crashed while it ran the batch item")
 )
 
 // A Clock provides the current time and timers.
@@ -60,8 +63,8 @@
 	Get(ctx context.Context, name string, replicas []string) ([]byte, error)
 }
 
-// A Runner runs one item on a backend server. Errors that match ErrNoCapacity or
-// ErrPreempted do not count as tries; any other error does.
+// A Runner runs one item on a backend server. Errors that match ErrNoCapacity,
+// ErrPreempted or ErrServerCrashed do not count as tries; any other error does.
 type Runner interface {
 	RunItem(ctx context.Context, item Item) (ItemResult, error)
 }
--- a/internal/batcher/batcher_test.go
+++ b/internal/batcher/batcher_test.go
@@ -124,6 +124,23 @@
 	})
 }
 
+// Guards against a sound item that is given up because several servers crashed while
+// they ran it.
+func TestServerCrashes(t *testing.T) {
+	const crashes = 2 * maxTries
+	cluster := newTestCluster(t)
+	var count runCounter
+	inst := cluster.addInstance("entry-1", count.wrap(func(ctx context.Context, item Item) (ItemResult, error) {
+		if count.of("item-0") <= crashes {
+			return ItemResult{}, fmt.Errorf("wrapped: %w", ErrServerCrashed)
+		}
+		return succeed(ctx, item)
+	}))
+	inst.submit(t, 1)
+	assert.Equal(t, inst.assertEnds(t, Completed).Counts.Done, 1)
+	assert.Equal(t, count.of("item-0"), crashes+1)
+}
+
 // Guards against refusals and preemptions that count as tries, and against a busy
 // loop while there is no capacity.
 func TestNoCapacity(t *testing.T) {
--- a/internal/batcher/chunkrun.go
+++ b/internal/batcher/chunkrun.go
@@ -19,7 +19,9 @@
 const (
 	maxTries         = 3
 	retryDelayFactor = 4
-	maxReasonBytes   = 1 << 10
+	// maxCrashPause is the longest delay of a try after servers crashed under the item.
+	maxCrashPause  = 30 * time.Second
+	maxReasonBytes = 1 << 10
 )
 
 // A chunkRun runs the items of a claimed chunk concurrently.
@@ -122,13 +124,18 @@
 // runItem runs an item until it is done, has failed for good or ctx ends.
 func (r *chunkRun) runItem(ctx context.Context, q queuedItem) {
 	record := ItemRecord{Index: q.index, CustomID: r.items[q.index].CustomID}
-	pause := r.batcher.cfg.RetryDelay
+	pause, crashPause := r.batcher.cfg.RetryDelay, r.batcher.cfg.RetryDelay
 	for q.lane.await(ctx, q.ticket) == nil {
 		v := r.tryOnce(ctx, q.lane, &record)
 		switch {
 		case v == tryStopped:
 			return
 		case v == tryRefused:
+		case v == tryCrashed:
+			if !wait(ctx, r.batcher.cfg.Clock, crashPause) {
+				return
+			}
+			crashPause = min(2*crashPause, maxCrashPause)
 		case v == tryEnded, record.Tries >= maxTries:
 			r.addRecord(record)
 			return
@@ -149,6 +156,7 @@
 	tryEnded   tryResult = iota // The item is done, or failed and must not be retried.
 	tryFailed                   // The try failed and counts.
 	tryRefused                  // The item was refused or preempted; the try does not count.
+	tryCrashed                  // The server crashed; the try does not count.
 	tryStopped                  // The run is being stopped.
 )
 
@@ -180,6 +188,8 @@
 	switch {
 	case err != nil && ctx.Err() != nil:
 		return tryStopped
+	case errors.Is(err, ErrServerCrashed):
+		return tryCrashed
 	case err != nil && requeueable(err):
 		return tryRefused
 	}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -24,6 +24,9 @@
 	// ErrNoCapacity means that no engine has free capacity for a batch item. The
 	// item was not dispatched.
 	ErrNoCapacity = merry.Sentinel("no engine has free capacity for the batch item")
+	// ErrServerCrashed means that the engine crashed while it ran a batch item. The
+	// item is still owed.
+	ErrServerCrashed = merry.Sentinel("the engine crashed while it ran the batch item")
 	// ErrCallerGone is the cause with which a front end cancels the context of
 	// a request whose caller has closed its connection.
 	ErrCallerGone = merry.Sentinel("caller closed its connection")
--- a/internal/dispatcher/item.go
+++ b/internal/dispatcher/item.go
@@ -53,8 +53,8 @@
 	digest       string
 }
 
-// RunItem makes one try of a batch item. The error is ErrPreempted or
-// ErrNoCapacity if the try does not count, and otherwise a *refuser.Refusal.
+// RunItem makes one try of a batch item. The error is ErrPreempted, ErrNoCapacity or
+// ErrServerCrashed if the try does not count, and otherwise a *refuser.Refusal.
 func (d *Dispatcher) RunItem(ctx context.Context, item Item) (result ItemResult, err error) {
 	started := d.cfg.Clock.Now()
 	defer func() { d.reportItem(item, result, err, started) }()
@@ -77,15 +77,10 @@
 	}
 	p := &placement{request: itemRequest(item)}
 	p.digest = contentOf(pool.Name, p.request).Digest()
-	suspicion := d.cfg.Retrier.Suspicion(p.digest)
-	switch {
-	case suspicion.Quarantined:
-		return nil, refuser.New(refuser.RequestQuarantined, refuser.NotRun, "backend servers died while they ran this item")
-	case suspicion.NeedsIsolation():
-		return p, d.placeIsolated(item, pool, p)
-	default:
-		return p, d.placeShared(item, pool, p)
+	if d.cfg.Retrier.Suspicion(p.digest).Crashes > 0 {
+		return p, d.placeIsolated(item, pool, p) // Also in quarantine: the item is still owed.
 	}
+	return p, d.placeShared(item, pool, p)
 }
 
 func itemRequest(item Item) sender.Request {
@@ -250,7 +245,9 @@
 	var failure *sender.Failure
 	if errors.As(err, &failure) {
 		d.instruments.countFailure("batch", failure.Cause)
-		d.handleServerFailure(ctx, p.server, failure, p.digest)
+		if d.handleServerFailure(ctx, p.server, failure, p.digest) {
+			return ErrServerCrashed
+		}
 		if !failure.Dispatched {
 			outcome = refuser.NotRun
 		}
--- a/internal/dispatcher/report.go
+++ b/internal/dispatcher/report.go
@@ -124,6 +124,8 @@
 		return codeOK
 	case errors.Is(err, ErrPreempted):
 		return "yielded"
+	case errors.Is(err, ErrServerCrashed):
+		return "server-crashed"
 	case errors.Is(err, ErrNoCapacity):
 		return "no-room"
 	case errors.As(err, &refusal):
--- a/internal/runner/adapters.go
+++ b/internal/runner/adapters.go
@@ -174,6 +174,8 @@
 	switch {
 	case errors.Is(err, dispatcher.ErrNoCapacity):
 		return batcher.ErrNoCapacity
+	case errors.Is(err, dispatcher.ErrServerCrashed):
+		return batcher.ErrServerCrashed
 	case errors.Is(err, dispatcher.ErrPreempted):
 		return batcher.ErrPreempted
 	default:
