fix: a server that crashed under a suspect is not given to the next one

What callers saw: a sound request was refused with request-quarantined for ten minutes because another request crashed servers.

A suspect that had waited for the place was sent to the same server 2 ms later, lost its connection, and the same probe counted a second crash against it. Ruled out: two entries whose suspects share a server; both requests were at entry-a1.

Change: a server that ran a request alone is released after the probe.

--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/quetzalhitch/quetzalhitch/internal/registrar"
@@ -18,6 +19,7 @@
 type assignment struct {
 	server   *registrar.Server
 	decision router.Decision
+	isolated bool // The request runs alone.
 	release  func()
 }
 
@@ -37,16 +39,29 @@
 		}
 		r.attempts++
 		r.logChoice(a.decision)
-		err := r.attempt(ctx, a)
-		if err == nil {
-			return nil
-		}
-		if refusal := r.handleFailure(ctx, a.server, err); refusal != nil {
+		if done, refusal := r.tryServer(ctx, a); done {
 			return refusal
 		}
 	}
 }
 
+// tryServer makes one attempt. A server that ran a request alone is released only when
+// a probe has told whether it crashed: the next suspect would be sent to it, and a
+// second crash would be counted against a request that caused none.
+func (r *run) tryServer(ctx context.Context, a assignment) (done bool, refusal *refuser.Refusal) {
+	release := sync.OnceFunc(a.release)
+	defer release()
+	err := r.attempt(ctx, a)
+	if err == nil {
+		return true, nil
+	}
+	if !a.isolated {
+		release()
+	}
+	refusal = r.handleFailure(ctx, a.server, err)
+	return refusal != nil, refusal
+}
+
 // acquireServer chooses a server and adds the request to its load.
 func (r *run) acquireServer(ctx context.Context) (a assignment, refusal *refuser.Refusal) {
 	pool, ok := r.dispatcher.cfg.Fleet.Pool(r.pool)
@@ -95,7 +110,6 @@
 
 // attempt sends the request to one server and delivers its answer.
 func (r *run) attempt(ctx context.Context, a assignment) error {
-	defer a.release()
 	out := r.outbound
 	out.Address = a.server.Snapshot().Address
 	out.NewConnection = out.NewConnection || r.attempts > 1 || r.isNonStreamingCompletion()
--- a/internal/dispatcher/isolation.go
+++ b/internal/dispatcher/isolation.go
@@ -226,7 +226,7 @@
 		s.Unreserve()
 		return a, err
 	}
-	return assignment{server: s, decision: decision, release: func() {
+	return assignment{server: s, decision: decision, isolated: true, release: func() {
 		s.Unreserve()
 		limit.release()
 	}}, nil
