fix: one check of quarantined parts for both front ends

The forwarder and the dispatcher each held the decision whether a request with a quarantined part may run or is a trial; the forwarder's had a fault that the dispatcher's had not. It is retrier.PartCheck now.

--- a/internal/dispatcher/dispatch.go
+++ b/internal/dispatcher/dispatch.go
@@ -37,8 +37,8 @@
 	answerStarted bool     // A part of the answer was sent to the caller.
 	completed     bool     // The answer was read to its end.
 	answerBegun   bool     // The server has certainly begun to answer.
-	onTrial       bool     // This request alone may try a quarantined part.
-	intent        *Intent  // Set if this request has to record the end of the intent.
+	partCheck     retrier.PartCheck
+	intent        *Intent // Set if this request has to record the end of the intent.
 	recorded      RecordedAnswer
 }
 
@@ -61,6 +61,7 @@
 	for _, part := range q.SharedParts {
 		r.parts = append(r.parts, retrier.DigestPart(r.pool, part))
 	}
+	r.partCheck = retrier.PartCheck{States: d.cfg.Parts, Trials: d.cfg.Trials, Parts: r.parts}
 	return r
 }
 
@@ -136,16 +137,7 @@
 
 // checkParts refuses a request with a quarantined part, unless it may try the part.
 func (r *run) checkParts(ctx context.Context) *refuser.Refusal {
-	if len(r.parts) == 0 || r.onTrial && r.attempts == 0 {
-		return nil
-	}
-	state, part := r.dispatcher.cfg.Parts.State(r.parts)
-	if state == retrier.PartSound {
-		return nil
-	}
-	if state == retrier.PartOnTrial && r.attempts == 0 && r.dispatcher.cfg.Trials.Begin(ctx, part) {
-		r.onTrial = true
-		r.logDecision("quarantine", "trial")
+	if allowed, _ := r.partCheck.Allowed(ctx, r.attempts); allowed {
 		return nil
 	}
 	r.logDecision("quarantine", "refused-part")
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -89,7 +89,7 @@
 	Router   chooser
 	Retrier  *retrier.Retrier
 	Parts    partTracker
-	Trials   trials
+	Trials   retrier.Trials
 	Sender   transport
 	Prober   prober
 	Admitter admitter
@@ -112,15 +112,9 @@
 // A partTracker records which parts of prompts backend servers crashed on.
 // *retrier.Parts implements it.
 type partTracker interface {
+	retrier.PartStates
 	RecordAnswer(parts []retrier.PartDigest)
 	RecordLoss(parts []retrier.PartDigest, server, request string)
-	State(parts []retrier.PartDigest) (retrier.PartState, retrier.PartDigest)
-}
-
-// trials decides which request may try whether a quarantined part still crashes
-// servers.
-type trials interface {
-	Begin(ctx context.Context, part retrier.PartDigest) bool
 }
 
 // A Dispatcher runs requests and batch items on backend servers.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -125,17 +125,9 @@
 // PartTracker records on which parts of prompts, and on which whole contents, backend
 // servers crashed. *retrier.Parts implements it.
 type PartTracker interface {
+	retrier.PartStates
 	RecordAnswer(parts []retrier.PartDigest)
 	RecordLoss(parts []retrier.PartDigest, server, request string)
-	State(parts []retrier.PartDigest) (retrier.PartState, retrier.PartDigest)
-}
-
-// Trials decides which request may try whether a quarantined part still crashes
-// servers.
-type Trials interface {
-	// Begin reports whether this is the only request of the fleet that may try the
-	// part now.
-	Begin(ctx context.Context, part retrier.PartDigest) bool
 }
 
 // A Clock tells the time and starts timers.
@@ -153,7 +145,7 @@
 
 	CrashTracker CrashTracker
 	PartTracker  PartTracker
-	Trials       Trials
+	Trials       retrier.Trials
 	Meter        metric.Meter
 }
 
@@ -185,6 +177,7 @@
 // when the stream begins.
 func (f *Forwarder) Forward(ctx context.Context, q *Request) (*Response, *refuser.Refusal) {
 	r := &run{f: f, q: q, lastEventID: q.LastEventID, id: strconv.FormatUint(f.runs.Add(1), 10), digest: q.digest(), parts: q.suspectParts()}
+	r.partCheck = retrier.PartCheck{States: f.cfg.PartTracker, Trials: f.cfg.Trials, Parts: r.parts}
 	response, refusal := r.start(ctx)
 	if refusal != nil || !response.isStream {
 		r.report(response, refusal)
--- a/internal/forwarder/run.go
+++ b/internal/forwarder/run.go
@@ -64,7 +64,7 @@
 	id              string               // Unique at this instance.
 	digest          string               // Digest of the request's content.
 	parts           []retrier.PartDigest // Shared parts of the prompt, and last the whole content.
-	onTrial         bool                 // This request alone may try a quarantined part.
+	partCheck       retrier.PartCheck
 	finished        bool
 }
 
@@ -183,16 +183,11 @@
 // partsAllowed reports whether no part of the prompt is quarantined, or the request may
 // try the part that is.
 func (r *run) partsAllowed() bool {
-	if r.onTrial && r.attempts == 0 {
-		return true
+	allowed, part := r.partCheck.Allowed(r.ctx, r.attempts)
+	if part != (retrier.PartDigest{}) {
+		r.f.cfg.Logger.WithFields(logrus.Fields{"request": r.q.ID, "part": part.String(), "on-trial": allowed}).Info("request holds a quarantined part")
 	}
-	state, part := r.f.cfg.PartTracker.State(r.parts)
-	if state == retrier.PartSound {
-		return true
-	}
-	r.onTrial = state == retrier.PartOnTrial && r.attempts == 0 && r.f.cfg.Trials.Begin(r.ctx, part)
-	r.f.cfg.Logger.WithFields(logrus.Fields{"request": r.q.ID, "part": part.String(), "on-trial": r.onTrial}).Info("request holds a quarantined part")
-	return r.onTrial
+	return allowed
 }
 
 // recordBegunAnswer records that a server has begun to answer.
--- a/internal/retrier/partreports.go
+++ b/internal/retrier/partreports.go
@@ -52,7 +52,7 @@
 	return r
 }
 
-// ApplyReports applies the reports of a peer. What they tell for the first time is
+// ApplyReports applies the reports of a peer. What is new in them is
 // reported further, so that it reaches peers that have no link to the first one.
 func (p *Parts) ApplyReports(reports []PartReport) {
 	now := p.cfg.Clock.Now()
@@ -80,7 +80,7 @@
 }
 
 // ApplyStored applies all quarantines in the store. A quarantine that has changed
-// begins anew, as the clocks of instances differ.
+// starts again at this time, as the clocks of instances differ.
 func (p *Parts) ApplyStored(stored []StoredPart) {
 	now := p.cfg.Clock.Now()
 	listed := make(map[PartDigest]int, len(stored))
