fix: quarantines are repeated to peers every five seconds

While a part was quarantined, each report to each peer carried all its crashes with digests of 64 characters: by reading some 1.2 KB a part and report, several times the 9 KB a second that control may take, for as long as the quarantine lasts.

News are reported for two seconds as before; a quarantine is repeated for 0.4 s every five seconds, since peers read it from the store as well, and requests are told apart by 64 bits. Losses with a verdict count at once. Case "an instance that joins later learns of a quarantine".

--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -255,14 +255,15 @@
 		a, b := newFixture(lost), newFixture(lost)
 		trackers := map[*fixture]*retrier.Parts{}
 		for _, r := range []*fixture{a, b} {
-			trackers[r] = retrier.NewParts(retrier.PartsConfig{Clock: a.clock, Judge: crashJudge{}, Logger: a.f.cfg.Logger})
+			trackers[r] = retrier.NewParts(retrier.PartsConfig{Clock: r.clock, Judge: crashJudge{}, Logger: a.f.cfg.Logger})
 			r.f.cfg.PartTracker = trackers[r]
 		}
 		for range 3 {
 			assert.Assert(t, send(a, 1) != nil)
+			trackers[b].ApplyReports(trackers[a].Report())
 			a.clock.Advance(restartTime)
+			b.clock.Advance(restartTime)
 		}
-		trackers[b].ApplyReports(trackers[a].Report())
 		assert.Equal(t, send(b, 1).Outcome, refuser.NotRun)
 		assert.Equal(t, len(b.client.attempts), 0)
 		assert.Equal(t, send(b, 2).Outcome, refuser.Unknown, "another content is refused")
--- a/internal/retrier/partreports.go
+++ b/internal/retrier/partreports.go
@@ -2,10 +2,12 @@
 
 import "time"
 
-// Report returns the parts that are quarantined or on trial, and those with news.
+// Report returns the parts with news and, from time to time, those that are quarantined
+// or on trial.
 func (p *Parts) Report() []PartReport {
 	return p.reports(func(rec *partRecord, now time.Time) bool {
-		return rec.hasNews(now) || len(rec.counted()) >= crashesToSuspectPart && rec.quarantined(now)
+		repeated := now.Sub(rec.changedAt)%quarantineReportPeriod < quarantineReportTime
+		return rec.hasNews(now) || repeated && len(rec.counted()) >= crashesToSuspectPart && rec.quarantined(now)
 	})
 }
 
--- a/internal/retrier/parts.go
+++ b/internal/retrier/parts.go
@@ -4,9 +4,11 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 )
 
@@ -26,6 +28,11 @@
 	// partReportTime is how long news of a part are reported to peers. It covers
 	// several exchanges.
 	partReportTime = 2 * time.Second
+	// quarantineReportPeriod is the time between two repetitions of a quarantine to
+	// peers, each of which lasts for quarantineReportTime, somewhat longer than the
+	// time between two exchanges. Peers also read quarantines from the store.
+	quarantineReportPeriod = 5 * time.Second
+	quarantineReportTime   = 400 * time.Millisecond
 	// maxReportedParts and maxPartCrashes bound the reports.
 	maxReportedParts = 64
 	maxPartCrashes   = 12
@@ -52,7 +59,7 @@
 // A PartCrash is a crash of a server before it answered a request with the part.
 type PartCrash struct {
 	Server  string        `cbor:"server"`
-	Request string        `cbor:"request"` // Content digest of the request.
+	Request string        `cbor:"request"` // Tells different requests apart.
 	Age     time.Duration `cbor:"age"`     // Since the crash; at least zero.
 }
 
@@ -166,6 +173,7 @@
 // to answer.
 func (p *Parts) RecordLoss(parts []PartDigest, server, request string) {
 	now := p.cfg.Clock.Now()
+	request = strconv.FormatUint(xxhash.Sum64String(request), 36) // Short, as it is sent to all peers.
 	for _, d := range parts {
 		p.update(d, now, true, func(rec *partRecord) {
 			rec.losses = append(rec.losses, partCrash{server: server, request: request, at: now})
@@ -226,6 +234,7 @@
 	before := rec.quarantined(now)
 	p.settle(rec, now)
 	change(rec)
+	p.settle(rec, now)
 	if !create && rec.obsolete(now) {
 		delete(s.records, d)
 	}
--- a/internal/retrier/parts_test.go
+++ b/internal/retrier/parts_test.go
@@ -201,7 +201,9 @@
 		for range crashesToSuspectPart {
 			a.crash(deadly)
 		}
-		a.clock.Advance(2 * partReportTime)
+		a.clock.Advance(quarantineReportPeriod - 2*time.Second)
+		assert.Equal(t, len(a.Report()), 0, "reported all the time")
+		a.clock.Advance(time.Second)
 		b.ApplyReports(a.Report())
 		b.assertState(t, deadly, PartQuarantined)
 	})
