--- a/internal/balancer/health.go
+++ b/internal/balancer/health.go
@@ -37,7 +37,7 @@
 	misdirected    bool
 	unreachable    bool // No connection could be opened; cleared by a successful probe or request.
 	probing        bool
-	lost           bool      // It dropped a request, and no probe has told whether it still listens.
+	lost           bool      // It dropped a request, and no probe has shown yet whether it still listens.
 	nextProbeAt    time.Time // Used while the server is unreachable or lost.
 }
 
--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -46,7 +46,7 @@
 }
 
 // tryServer makes one attempt. A server that ran a request alone is released only when
-// a probe has told whether it crashed: the next suspect would be sent to it, and a
+// a probe has shown whether it crashed: the next suspect would be sent to it, and a
 // second crash would be counted against a request that caused none.
 func (r *run) tryServer(ctx context.Context, a assignment) (done bool, refusal *refuser.Refusal) {
 	release := sync.OnceFunc(a.release)
