test: permits are lent only after all items have asked for one

Cause: the test asks ten times and then expects a permit. If the answer of the lender arrives before the ten have asked, the later ones take the permits, which is what the borrower should do. The lender now answers after the ten, and the test also asserts that none of them gets a permit. The check for one message and the final permit are as before.

--- a/internal/limiter/borrower_test.go
+++ b/internal/limiter/borrower_test.go
@@ -22,6 +22,17 @@
 	return c.lender.Lend("entry-2", b.Message), nil
 }
 
+// A delayedCaller calls the lender only when the test unblocks it.
+type delayedCaller struct {
+	*localCaller
+	unblock chan struct{}
+}
+
+func (c delayedCaller) Borrow(ctx context.Context, b *Batch) (BorrowAnswer, error) {
+	<-c.unblock
+	return c.localCaller.Borrow(ctx, b)
+}
+
 // A blockedCaller answers only when the test unblocks it.
 type blockedCaller struct {
 	unblock chan struct{}
@@ -91,11 +102,14 @@
 func TestPermitsRequestedOnDemand(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	caller := &localCaller{lender: newLenderTest(declared(10, 10, 0)).lender}
-	b := NewBorrower(clock, newTestLedger(clock), caller)
+	delayed := delayedCaller{localCaller: caller, unblock: make(chan struct{})}
+	b := NewBorrower(clock, newTestLedger(clock), delayed)
 	b.Install(declared(10, 10, 0))
 	for range 10 {
-		b.AcquirePermit(testServer)
+		_, ok := b.AcquirePermit(testServer)
+		assert.Assert(t, !ok)
 	}
+	close(delayed.unblock)
 	<-b.PermitsLent()
 	b.group.Wait()
 	assert.Equal(t, caller.calls.Load(), int64(1))
