fix: servers get no more requests than the limit that they state

Cause: no code read the limit, and an instance that read it alone would not have kept it, since it binds the sum over all instances.

balancer.Acquire, through which online attempts, resumed streams, trials and items of batch jobs all go, chooses no server whose limit leaves no room, and counts each placement. internal/throttler decides: up to four instances and one more for each request per second hold the limit of a server and share one count by their reports; a holder that hears the others no longer keeps to its part. Batch items that are not due soon leave half of the burst to online requests. Where the limits of all servers leave no room the caller is refused at once; callers are told to return one after the other at the rate of the instance's part. The log line of a refusal has its message.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -23,6 +23,17 @@
 	ErrFull = merry.Sentinel("all backend servers are full")
 )
 
+// A LimitedError means that every server that could take the work has a limit that
+// leaves no room for it now.
+type LimitedError struct {
+	RetryAfter time.Duration // When this instance expects to have room for it.
+}
+
+// Error implements error.
+func (e *LimitedError) Error() string {
+	return "the limits of the backend servers leave no room"
+}
+
 // A Class separates online requests from batch items.
 type Class int
 
@@ -70,11 +81,25 @@
 	After(d time.Duration) <-chan time.Time
 }
 
+// A Throttle keeps work within the limits that servers state. *throttler.Throttler
+// implements it.
+type Throttle interface {
+	// Wait returns the time until the server takes more work. Work that can wait leaves
+	// room for other work.
+	Wait(server throttler.Server, canWait bool) time.Duration
+	// Rate returns the work per second that is this instance's part of the server's
+	// limit; zero if it has none.
+	Rate(server throttler.Server) float64
+	// Take counts work that is sent to the server.
+	Take(server throttler.Server)
+}
+
 // A Config holds the settings and dependencies of a balancer.
 type Config struct {
 	Clock         Clock
 	FailureDomain string
 	Probe         Probe
+	Throttle      Throttle // Nil if servers state no limits.
 	// OnBatchContention is called when an online request is placed on a server
 	// without a free slot that runs batch work of a peer, so that the peer can be
 	// told at once. It may be nil.
@@ -149,8 +174,8 @@
 	Urgent  bool          // Batch work that is due soon.
 }
 
-// Acquire chooses a server and counts the work on it. The error wraps
-// ErrNoServer or ErrFull. The caller releases the placement.
+// Acquire chooses a server and counts the work on it. The error wraps ErrNoServer or
+// ErrFull, or is a *LimitedError. The caller releases the placement.
 func (b *Balancer) Acquire(q Query) (*Placement, error) {
 	p := b.pool(q.Service)
 	if p == nil {
--- a/internal/balancer/pool.go
+++ b/internal/balancer/pool.go
@@ -45,6 +45,9 @@
 	// initialDuration is the assumed duration of a request before the first one has
 	// completed.
 	initialDuration = 500 * time.Millisecond
+	// maxReturnDelay is the longest delay after which a caller returns that was refused
+	// for a limit: the limit may end earlier, and callers wait for a few seconds only.
+	maxReturnDelay = 1500 * time.Millisecond
 	// durationWeight is the weight of the latest request in the mean duration, an
 	// exponential moving average.
 	durationWeight = 0.05
@@ -98,6 +101,7 @@
 	order         []*server // Sorted by ID.
 	meanDuration  time.Duration
 	capacityFreed chan struct{} // Closed when capacity may be free; nil while nobody waits.
+	nextReturnAt  time.Time     // When the caller that was refused last for a limit is to return.
 }
 
 func newPool() *pool {
@@ -154,9 +158,12 @@
 func (p *pool) acquire(q Query, cfg Config) (*Placement, error) {
 	p.mu.Lock()
 	now := cfg.Clock.Now()
-	s := p.selectServer(q, cfg.FailureDomain, now)
+	s, wait := p.selectServer(q, cfg, now)
 	if s == nil {
 		defer p.mu.Unlock()
+		if wait > 0 {
+			return nil, &LimitedError{RetryAfter: p.returnDelay(q.Class, wait, now, cfg.Throttle)}
+		}
 		return nil, ErrNoServer
 	}
 	if q.Class == Batch && !s.hasBatchCapacity(q.Urgent) || q.Class == Online && p.expectedWait(s) > q.MaxWait {
@@ -165,6 +172,9 @@
 	}
 	placement := &Placement{Backend: s.Backend, Load: s.load(), class: q.Class, pool: p, server: s, cfg: cfg, startedAt: now}
 	s.health.startAttempt(now)
+	if cfg.Throttle != nil {
+		cfg.Throttle.Take(s.Start())
+	}
 	var preempted *Placement
 	batchPeer := ""
 	if q.Class == Batch {
@@ -234,22 +244,20 @@
 }
 
 // selectServer returns the server with the lowest cost among those that are not
-// suspected. If there is none, online requests fall back to suspected servers.
-func (p *pool) selectServer(q Query, domain string, now time.Time) *server {
-	if s := p.lowestCost(q, domain, now, false); s != nil {
-		return s
-	}
-	if q.Class == Batch {
-		return nil
+// suspected. If there is none, online requests fall back to suspected servers. If all
+// servers have a limit that leaves no room, it returns the time until one has.
+func (p *pool) selectServer(q Query, cfg Config, now time.Time) (s *server, wait time.Duration) {
+	s, wait = p.lowestCost(q, cfg, now, false)
+	if s != nil || wait > 0 || q.Class == Batch {
+		return s, wait
 	}
-	return p.lowestCost(q, domain, now, true)
+	return p.lowestCost(q, cfg, now, true)
 }
 
-func (p *pool) lowestCost(q Query, domain string, now time.Time, suspected bool) *server {
+func (p *pool) lowestCost(q Query, cfg Config, now time.Time, suspected bool) (best *server, wait time.Duration) {
 	if len(p.order) == 0 {
-		return nil
+		return nil, 0
 	}
-	var best *server
 	bestCost := 0.0
 	sampled := 0
 	start := rand.IntN(len(p.order))
@@ -258,17 +266,57 @@
 		if s.Leaving || s.health.misdirected || slices.Contains(q.Exclude, s.ID) || s.health.suspected(now) != suspected {
 			continue
 		}
+		if limited := s.limitWait(q, cfg.Throttle); limited > 0 {
+			if wait == 0 || limited < wait {
+				wait = limited
+			}
+			continue
+		}
 		if !s.preferred {
 			if sampled++; sampled > nonPreferredSamples {
 				continue
 			}
 		}
-		cost := s.cost(domain, q.Class)
+		cost := s.cost(cfg.FailureDomain, q.Class)
 		if best == nil || cost < bestCost {
 			best, bestCost = s, cost
 		}
 	}
-	return best
+	return best, wait
+}
+
+// limitWait returns the time until the server's limit leaves room for the work.
+func (s *server) limitWait(q Query, throttle Throttle) time.Duration {
+	if throttle == nil {
+		return 0
+	}
+	return throttle.Wait(s.Start(), q.Class == Batch && !q.Urgent)
+}
+
+// returnDelay returns when a caller is to return that the limits of all servers leave no
+// room for. Callers return one after the other at the rate of this instance's part of
+// the limits, so that they do not compete for the same room.
+func (p *pool) returnDelay(class Class, wait time.Duration, now time.Time, throttle Throttle) time.Duration {
+	if class == Batch {
+		return wait
+	}
+	rate := 0.0
+	for _, s := range p.order {
+		rate += throttle.Rate(s.Start())
+	}
+	next := now.Add(min(wait, maxReturnDelay))
+	if rate > 0 {
+		next = latest(next, p.nextReturnAt.Add(time.Duration(float64(time.Second)/rate)))
+	}
+	p.nextReturnAt = earliest(next, now.Add(maxReturnDelay))
+	return p.nextReturnAt.Sub(now)
+}
+
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
 }
 
 // cost returns the load of a server relative to its slots, plus penalties. The
--- a/internal/forwarder/report.go
+++ b/internal/forwarder/report.go
@@ -38,6 +38,7 @@
 	if refusal != nil {
 		fields[reporter.FieldReason] = refusal.Code
 		fields["outcome"] = refusal.Outcome
+		fields["detail"] = refusal.Message
 		message = "request refused"
 	}
 	r.f.cfg.Logger.WithFields(fields).Info(message)
--- a/internal/forwarder/run.go
+++ b/internal/forwarder/run.go
@@ -164,7 +164,10 @@
 		Exclude: r.excluded,
 		MaxWait: max(maxQueueWaitGoals*r.q.Route.Goal, minQueueWait),
 	})
+	var limited *balancer.LimitedError
 	switch {
+	case errors.As(err, &limited):
+		return r.refuse(refuser.NoBackendServer, "the limits of the backend servers leave no room", limited.RetryAfter)
 	case errors.Is(err, balancer.ErrFull):
 		return r.refuse(refuser.NoBackendServer, "the backend servers have more work than they finish in time", retryAfterFull)
 	case err != nil && len(r.excluded) > 0:
--- a/internal/throttler/limit.go
+++ b/internal/throttler/limit.go
@@ -53,11 +53,13 @@
 // refill adds what a share of the limit allows since the last time.
 func (l *limit) refill(share float64, now time.Time) {
 	if elapsed := now.Sub(l.filledAt); elapsed > 0 {
-		l.level = min(l.level+share*l.rate*elapsed.Seconds(), burstBase+burstPerRate*l.rate)
+		l.level = min(l.level+share*l.rate*elapsed.Seconds(), l.burst())
 		l.filledAt = now
 	}
 }
 
+func (l *limit) burst() float64 { return burstBase + burstPerRate*l.rate }
+
 func (l *limit) spend(n float64) {
 	l.level = max(l.level-n, -l.rate*maxDebtTime.Seconds())
 }
--- a/internal/throttler/throttler.go
+++ b/internal/throttler/throttler.go
@@ -28,16 +28,16 @@
 	// multiple of the limit. With the burst they stay below the excess in four seconds
 	// that the requirements allow: five requests and twice the limit.
 	unreportedBase    = 3.0
-	unreportedPerRate = 1.5
+	unreportedPerRate = 1.0
 	// peerTimeout is the time without a report after which a holder counts as silent.
 	// It covers three reports.
 	peerTimeout = time.Second
 	// burstBase and burstPerRate are the number of requests that a server may get at
-	// once, as a number and as a multiple of the limit. onlineReserve is kept from
-	// batch items.
-	burstBase     = 1.5
-	burstPerRate  = 0.25
-	onlineReserve = 0.5
+	// once, as a number and as a multiple of the limit: callers come in waves.
+	burstBase    = 1.5
+	burstPerRate = 1.0
+	// reserve is the part of the burst that work that can wait leaves to other work.
+	reserve = 0.5
 	// minRate is the lowest rate, in requests per second, that is assumed: without any
 	// request nobody would learn that the limit has ended.
 	minRate = 0.2
@@ -165,19 +165,13 @@
 
 func (t *Throttler) log(server Server, l *limit) *logrus.Entry {
 	return t.cfg.Logger.WithFields(logrus.Fields{
-		"backend-server": server.ID, "rate": l.rate, "sent": l.sent, "sent-by-peers": l.sentByPeers, "level": l.level,
+		"backend-server": server.ID, "rate": l.rate, "sent": l.sent, "sent-by-peers": l.sentByPeers, "room": l.level,
 	})
 }
 
-// Ready reports whether a server takes another request within its limit. Batch items
-// leave a part of the burst to online requests.
-func (t *Throttler) Ready(server Server, batch bool) bool {
-	return t.Wait(server, batch) == 0
-}
-
-// Wait returns the time until the server takes another request within its limit, as far
-// as this instance knows.
-func (t *Throttler) Wait(server Server, batch bool) time.Duration {
+// Wait returns the time until a server takes another request within its limit, as far
+// as this instance knows. Work that can wait leaves a part of the burst to other work.
+func (t *Throttler) Wait(server Server, canWait bool) time.Duration {
 	sh := t.shard(server)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
@@ -186,13 +180,30 @@
 		return 0
 	}
 	need := 1.0
-	if batch {
-		need += onlineReserve
+	if canWait {
+		need += reserve * (l.burst() - 1)
 	}
 	t.refill(server, l)
 	return max(l.wait(need, t.share(server, l)), l.paceWait(t.cfg.Clock.Now()))
 }
 
+// Rate returns the requests per second that are this instance's part of a server's
+// limit; zero if the server has no limit or others hold it.
+func (t *Throttler) Rate(server Server) float64 {
+	sh := t.shard(server)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	l := sh.limits[server]
+	if l == nil || !l.limited {
+		return 0
+	}
+	holders := t.holdersOf(server, l)
+	if !slices.Contains(holders, t.cfg.Instance) {
+		return 0
+	}
+	return l.rate / float64(len(holders))
+}
+
 // Take counts a request that is sent to a server.
 func (t *Throttler) Take(server Server) {
 	sh := t.shard(server)
