fix: batch work pauses while online requests are refused for want of room

An instance that has refused an online request places no batch work of that service for a second. Items that run go on.

Evidence: the new case of TestBatch fails without the pause.

--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -220,6 +220,16 @@
 		_, err := f.b.Acquire(Query{Service: service, Class: Batch, Urgent: true})
 		assert.ErrorIs(t, err, ErrFull)
 	})
+	t.Run("batch work pauses after an online request was refused", func(t *testing.T) {
+		f := newFixture("a", "b")
+		for range 4 {
+			f.acquire(t, Online, "b")
+		}
+		assertRefused(t, f, Online, ErrFull, "b")
+		assertRefused(t, f, Batch, ErrFull)
+		f.clock.Advance(batchPause)
+		f.acquire(t, Batch)
+	})
 	t.Run("the newest is preempted when online requests fill the server", func(t *testing.T) {
 		f := newFixture("a")
 		older, newer := f.acquire(t, Batch), f.acquire(t, Batch)
--- a/internal/balancer/limit_test.go
+++ b/internal/balancer/limit_test.go
@@ -84,8 +84,8 @@
 	})
 	t.Run("refused callers return one after the other", func(t *testing.T) {
 		f, _ := newLimitFixture(map[string]int{"a": 0, "b": 0}, "a", "b")
-		assertLimited(t, f, Online, limitWait)
 		assertLimited(t, f, Batch, limitWait)
+		assertLimited(t, f, Online, limitWait)
 		assertLimited(t, f, Online, limitWait+100*time.Millisecond)
 		for range 20 {
 			_, _ = f.b.Acquire(Query{Service: service, Class: Online})
--- a/internal/balancer/pool.go
+++ b/internal/balancer/pool.go
@@ -42,6 +42,9 @@
 	// batchReserve is the number of slots of a server that batch work leaves free,
 	// so that an online request finds one without waiting.
 	batchReserve = 2
+	// batchPause is how long no batch work is placed after an online request was refused
+	// for want of room.
+	batchPause = time.Second
 	// initialDuration is the assumed duration of a request before the first one has
 	// completed.
 	initialDuration = 500 * time.Millisecond
@@ -101,7 +104,9 @@
 	order         []*server // Sorted by ID.
 	meanDuration  time.Duration
 	capacityFreed chan struct{} // Closed when capacity may be free; nil while nobody waits.
-	nextReturnAt  time.Time     // When the caller that was refused last for a limit is to return.
+	// onlineRefusedAt is when an online request was last refused for want of room.
+	onlineRefusedAt time.Time
+	nextReturnAt    time.Time // When the caller that was refused last for a limit is to return.
 }
 
 func newPool() *pool {
@@ -158,16 +163,28 @@
 func (p *pool) acquire(q Query, cfg Config) (*Placement, error) {
 	p.mu.Lock()
 	now := cfg.Clock.Now()
+	if q.Class == Batch && now.Sub(p.onlineRefusedAt) < batchPause {
+		defer p.mu.Unlock()
+		return nil, ErrFull
+	}
 	s, wait := p.selectServer(q, cfg, now)
 	if s == nil {
 		defer p.mu.Unlock()
+		if q.Class == Online {
+			p.onlineRefusedAt = now
+		}
 		if wait > 0 {
 			return nil, &LimitedError{RetryAfter: p.returnDelay(q.Class, wait, now, cfg.Throttle)}
 		}
 		return nil, ErrNoServer
 	}
-	if q.Class == Batch && !s.hasBatchCapacity(q.Urgent) || q.Class == Online && p.expectedWait(s) > q.MaxWait {
+	if q.Class == Batch && !s.hasBatchCapacity(q.Urgent) {
+		defer p.mu.Unlock()
+		return nil, ErrFull
+	}
+	if q.Class == Online && p.expectedWait(s) > q.MaxWait {
 		defer p.mu.Unlock()
+		p.onlineRefusedAt = now
 		return nil, ErrFull
 	}
 	placement := &Placement{Backend: s.Backend, Load: s.load(), class: q.Class, pool: p, server: s, cfg: cfg, startedAt: now}
