feat: log lines tell the versions of the servers that a stream goes on at

Nothing told at which version of a server's software a stream began and went on. The version of a server's entry is decoded, and so is the attempt that a caller names when it takes a stream up. A line for each stream that goes on has the version that began it, if known, and that of the server; lines of requests and of runs of items have the version of the server. No decision uses them yet.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -52,6 +52,9 @@
 	Slots         int   // Requests that it runs concurrently; at least 1.
 	Leaving       bool  // It takes no new requests.
 	StartedAt     int64 // Start time in Unix milliseconds; a change means a restart under the same ID.
+	// Version is the version of its software. What two versions write does not fit
+	// together.
+	Version string
 }
 
 // Start identifies the start of the server.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -53,6 +53,7 @@
 	ArrivedAt   time.Time
 	Deadline    time.Time // The earlier of the caller's deadline and the route's timeout.
 	LastEventID string    // ID of the last event that the caller received; empty if the stream starts from its beginning.
+	Resumes     string    // ID of the caller's attempt that brought the first event; empty if the caller does not say.
 }
 
 // digest identifies the content of the request within its workspace. It does not
--- a/internal/forwarder/report.go
+++ b/internal/forwarder/report.go
@@ -18,6 +18,7 @@
 		reporter.FieldWorkspace:     r.q.Workspace,
 		"configuration":             r.q.ConfigurationVersion,
 		reporter.FieldBackendServer: r.serverID,
+		"server-version":            r.serverVersion,
 		"server-load":               r.serverLoad,
 		"attempts":                  r.attempts,
 		"refused-tries":             r.refusedAttempts,
@@ -45,6 +46,15 @@
 	r.f.instruments.observe(r, refusal, duration)
 }
 
+// reportResumption logs that a stream goes on, within one answer or because the caller
+// takes it up, and the versions of the servers before and after.
+func (r *run) reportResumption(takenUp bool) {
+	r.f.cfg.Logger.WithFields(logrus.Fields{
+		"request": r.q.ID, "begun-as": r.q.Resumes, "taken-up": takenUp, "after-event": r.lastEventID, "version": r.version, "version-known": r.versionKnown,
+		reporter.FieldBackendServer: r.serverID, "server-version": r.serverVersion,
+	}).Info("stream goes on")
+}
+
 // reportAttempt logs an attempt that did not answer the request.
 func (r *run) reportAttempt(outcome balancer.Outcome) {
 	r.f.cfg.Logger.WithFields(logrus.Fields{
--- a/internal/forwarder/run.go
+++ b/internal/forwarder/run.go
@@ -60,7 +60,10 @@
 	lastCause       string               // Cause of the last failure.
 	lastFailure     *Answer              // The last answer with AnswerFailed.
 	serverID        string               // ID of the last server.
+	serverVersion   string               // Version of the last server.
 	serverLoad      int                  // Load of the last server before this request.
+	version         string               // Version of the server that wrote the first event.
+	versionKnown    bool                 // version is set.
 	id              string               // Unique at this instance.
 	digest          string               // Digest of the request's content.
 	parts           []retrier.PartDigest // Shared parts of the prompt, and last the whole content.
@@ -90,6 +93,9 @@
 	}
 	response.isStream = true
 	r.stream = answer.Stream
+	if r.q.LastEventID != "" {
+		r.reportResumption(true)
+	}
 	return response, nil
 }
 
@@ -178,7 +184,7 @@
 		return r.refuse(refuser.NoBackendServer, "no backend server takes requests", retryAfterNoServer)
 	}
 	r.placement = placement
-	r.serverID, r.serverLoad = placement.Backend.ID, placement.Load
+	r.serverID, r.serverVersion, r.serverLoad = placement.Backend.ID, placement.Backend.Version, placement.Load
 	r.serverEvents = 0
 	return nil
 }
@@ -316,6 +322,7 @@
 			r.markFirstByte()
 			r.events++
 			r.serverEvents++
+			r.recordVersion()
 			if r.serverEvents == answerBegunEvents {
 				r.recordBegunAnswer()
 			}
@@ -359,9 +366,17 @@
 	}
 	r.resumes++
 	r.stream = answer.Stream
+	r.reportResumption(false)
 	return nil
 }
 
+// recordVersion records the version that wrote the first event of the stream.
+func (r *run) recordVersion() {
+	if r.events == 1 && r.q.LastEventID == "" {
+		r.version, r.versionKnown = r.serverVersion, true
+	}
+}
+
 func (r *run) finish(outcome balancer.Outcome, refusal *refuser.Refusal) {
 	if r.finished {
 		return
--- a/internal/jobkeeper/task.go
+++ b/internal/jobkeeper/task.go
@@ -296,7 +296,7 @@
 func (k *Keeper) handleOutcome(t *task, placement *balancer.Placement, o outcome) {
 	k.cfg.Logger.WithFields(logrus.Fields{
 		"job": t.job.manifest.Job, "item": t.item.ID, "events": t.events, "state": o.state, reporter.FieldReason: o.cause,
-		reporter.FieldBackendServer: placement.Backend.ID, "server-load": placement.Load, "failures": t.failures,
+		reporter.FieldBackendServer: placement.Backend.ID, "server-version": placement.Backend.Version, "server-load": placement.Load, "failures": t.failures,
 	}).Info("item run ended")
 	k.items.Add(context.Background(), 1, metric.WithAttributes(attribute.String("state", string(o.state)), attribute.String("cause", o.cause)))
 	switch {
