fix: a stream that breaks off goes on at the version that began it

Callers saw a stream that looked whole, whose first events came from one software version of a server and the rest from another. Cause: an instance that resumed a stream within one answer chose any server of the service.

The version of the server that wrote the first event binds all later attempts of the request. Where no server of that version takes requests the stream is interrupted at once, so that the caller can see it. Before the first event any version may answer.

Also: a request for which no server exists does not pause batch work.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -175,6 +175,7 @@
 	Exclude []string      // IDs of servers that have already been tried.
 	MaxWait time.Duration // Longest acceptable expected wait for a slot; beyond it, Acquire returns ErrFull.
 	Urgent  bool          // Batch work that is due soon.
+	Version *string       // The only version of servers to choose; nil for any.
 }
 
 // Acquire chooses a server and counts the work on it. The error wraps ErrNoServer or
--- a/internal/balancer/pool.go
+++ b/internal/balancer/pool.go
@@ -170,10 +170,10 @@
 	s, wait := p.selectServer(q, cfg, now)
 	if s == nil {
 		defer p.mu.Unlock()
-		if q.Class == Online {
-			p.onlineRefusedAt = now
-		}
 		if wait > 0 {
+			if q.Class == Online {
+				p.onlineRefusedAt = now
+			}
 			return nil, &LimitedError{RetryAfter: p.returnDelay(q.Class, wait, now, cfg.Throttle)}
 		}
 		return nil, ErrNoServer
@@ -280,7 +280,7 @@
 	start := rand.IntN(len(p.order))
 	for i := range p.order {
 		s := p.order[(start+i)%len(p.order)]
-		if s.Leaving || s.health.misdirected || slices.Contains(q.Exclude, s.ID) || s.health.suspected(now) != suspected {
+		if !s.eligible(q) || s.health.suspected(now) != suspected {
 			continue
 		}
 		if limited := s.limitWait(q, cfg.Throttle); limited > 0 {
@@ -302,6 +302,11 @@
 	return best, wait
 }
 
+// eligible reports whether the server may get the work at all.
+func (s *server) eligible(q Query) bool {
+	return !s.Leaving && !s.health.misdirected && !slices.Contains(q.Exclude, s.ID) && (q.Version == nil || s.Version == *q.Version)
+}
+
 // limitWait returns the time until the server's limit leaves room for the work.
 func (s *server) limitWait(q Query, throttle Throttle) time.Duration {
 	if throttle == nil {
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -68,19 +68,26 @@
 var errCut = &sender.Failure{Cause: sender.CauseConnectionLost, Dispatched: true, Err: io.ErrUnexpectedEOF}
 
 type fixture struct {
-	client *scriptedClient
-	f      *Forwarder
-	clock  *clockwork.FakeClock
+	client   *scriptedClient
+	f        *Forwarder
+	clock    *clockwork.FakeClock
+	balancer *balancer.Balancer
 }
 
 func newFixture(script ...func(Attempt) (*Answer, error)) *fixture {
+	return newVersionFixture([]string{"", "", "", "", ""}, script...)
+}
+
+// newVersionFixture returns a fixture with one server of each given version.
+func newVersionFixture(versions []string, script ...func(Attempt) (*Answer, error)) *fixture {
 	clock := clockwork.NewFakeClock()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	placer := balancer.New(balancer.Config{Clock: clock, FailureDomain: "d1", Logger: logger})
 	var backends []balancer.Backend
-	for _, id := range []string{"a", "b", "c", "d", "e"} {
-		backends = append(backends, balancer.Backend{ID: id, Service: "s", Address: id, Slots: 4})
+	for n, version := range versions {
+		id := string(rune('a' + n))
+		backends = append(backends, balancer.Backend{ID: id, Service: "s", Address: id, Slots: 4, Version: version})
 	}
 	placer.Install(backends)
 	client := &scriptedClient{script: script}
@@ -92,7 +99,7 @@
 	if err != nil {
 		panic(err)
 	}
-	return &fixture{client: client, clock: clock, f: f}
+	return &fixture{client: client, clock: clock, f: f, balancer: placer}
 }
 
 func (r *fixture) forward(route routefinder.Route) (*Response, *refuser.Refusal) {
@@ -195,6 +202,45 @@
 	})
 }
 
+// assertOneVersion serves a stream that breaks off twice, and checks that it goes on at
+// servers of the version that began it only.
+func assertOneVersion(t *testing.T, versions []string, want string, complete bool) {
+	t.Helper()
+	for range 20 { // The first server is chosen at random.
+		r := newVersionFixture(versions, streamEvents(errCut, "1"), streamEvents(errCut, "2"), streamEvents(io.EOF, "3"))
+		assertEvents(t, r, resumableRoute, want, complete)
+		for _, a := range r.client.attempts {
+			assert.Equal(t, a.Backend.Version, r.client.attempts[0].Backend.Version)
+		}
+	}
+}
+
+// TestStreamOfOneVersion guards against streams that hold events of two versions of a
+// server's software.
+func TestStreamOfOneVersion(t *testing.T) {
+	t.Run("a stream goes on at its version", func(t *testing.T) {
+		assertOneVersion(t, []string{"v1", "v1", "v1", "v2", "v2", "v2"}, "123", true)
+	})
+	t.Run("it goes on at a server that was tried if there is no other", func(t *testing.T) {
+		assertOneVersion(t, []string{"v1", "v2"}, "123", true)
+	})
+	t.Run("it is interrupted if the last server of its version leaves", func(t *testing.T) {
+		r := newVersionFixture([]string{"v1", "v1"}, streamEvents(errCut, "1"), streamEvents(io.EOF, "2"))
+		first := r.client.script[0]
+		r.client.script[0] = func(a Attempt) (*Answer, error) {
+			r.balancer.Install([]balancer.Backend{{ID: "n", Service: "s", Address: "n", Slots: 4, Version: "v2"}})
+			return first(a)
+		}
+		assertEvents(t, r, resumableRoute, "1", false)
+		assert.Equal(t, len(r.client.attempts), 1)
+	})
+	t.Run("an attempt before the first event may go to any version", func(t *testing.T) {
+		r := newVersionFixture([]string{"v1", "v2"}, streamEvents(errCut), streamEvents(io.EOF, "1"))
+		assertEvents(t, r, resumableRoute, "1", true)
+		assert.Assert(t, r.client.attempts[0].Backend.Version != r.client.attempts[1].Backend.Version)
+	})
+}
+
 // TestDeadline guards against requests that are sent after their deadline.
 func TestDeadline(t *testing.T) {
 	r := newFixture(answerWith(AnswerSucceeded, 200))
--- a/internal/forwarder/report.go
+++ b/internal/forwarder/report.go
@@ -50,11 +50,18 @@
 // takes it up, and the versions of the servers before and after.
 func (r *run) reportResumption(takenUp bool) {
 	r.f.cfg.Logger.WithFields(logrus.Fields{
-		"request": r.q.ID, "begun-as": r.q.Resumes, "taken-up": takenUp, "after-event": r.lastEventID, "version": r.version, "version-known": r.versionKnown,
+		"request": r.q.ID, "begun-as": r.q.Resumes, "taken-up": takenUp, "after-event": r.lastEventID, "version": describeVersion(r.version),
 		reporter.FieldBackendServer: r.serverID, "server-version": r.serverVersion,
 	}).Info("stream goes on")
 }
 
+func describeVersion(version *string) string {
+	if version == nil {
+		return "unknown"
+	}
+	return *version
+}
+
 // reportAttempt logs an attempt that did not answer the request.
 func (r *run) reportAttempt(outcome balancer.Outcome) {
 	r.f.cfg.Logger.WithFields(logrus.Fields{
--- a/internal/forwarder/run.go
+++ b/internal/forwarder/run.go
@@ -62,8 +62,7 @@
 	serverID        string               // ID of the last server.
 	serverVersion   string               // Version of the last server.
 	serverLoad      int                  // Load of the last server before this request.
-	version         string               // Version of the server that wrote the first event.
-	versionKnown    bool                 // version is set.
+	version         *string              // Version of the server that wrote the first event; nil before that.
 	id              string               // Unique at this instance.
 	digest          string               // Digest of the request's content.
 	parts           []retrier.PartDigest // Shared parts of the prompt, and last the whole content.
@@ -169,6 +168,7 @@
 		Class:   balancer.Online,
 		Exclude: r.excluded,
 		MaxWait: max(maxQueueWaitGoals*r.q.Route.Goal, minQueueWait),
+		Version: r.version,
 	})
 	var limited *balancer.LimitedError
 	switch {
@@ -180,6 +180,8 @@
 		r.excluded = r.excluded[:0] // All servers failed once; allow them again. This counts as a refused attempt.
 		r.refusedAttempts++
 		return r.prepareAttempt()
+	case err != nil && r.version != nil:
+		return r.refuse(refuser.NoBackendServer, "no backend server of the version that began the stream takes requests", retryAfterNoServer)
 	case err != nil:
 		return r.refuse(refuser.NoBackendServer, "no backend server takes requests", retryAfterNoServer)
 	}
@@ -373,7 +375,8 @@
 // recordVersion records the version that wrote the first event of the stream.
 func (r *run) recordVersion() {
 	if r.events == 1 && r.q.LastEventID == "" {
-		r.version, r.versionKnown = r.serverVersion, true
+		version := r.serverVersion
+		r.version = &version
 	}
 }
 
