fix: the text of an item comes from servers of one version

Callers read results whose text was put together from what two software versions of a server wrote. Cause: an item that was preempted or cut off went on at any server of the service, also after another instance had taken the job over from its saved progress.

An item remembers the version that wrote its first event, and so does its saved progress; progress without a version, of an earlier build, is not used. While the servers of that version are full, items that may run elsewhere go first. The item begins again, with an empty text, when its version is gone, or after 2 s without capacity that other versions have.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -188,6 +188,15 @@
 	return p.acquire(q, b.cfg)
 }
 
+// Versions returns the versions of the servers of a service that take work.
+func (b *Balancer) Versions(service string) []string {
+	p := b.pool(service)
+	if p == nil {
+		return nil
+	}
+	return p.versions()
+}
+
 // WaitCapacity returns a channel that is closed when the service may have new
 // capacity, so that batch work can retry Acquire.
 func (b *Balancer) WaitCapacity(service string) <-chan struct{} {
--- a/internal/balancer/pool.go
+++ b/internal/balancer/pool.go
@@ -302,6 +302,17 @@
 	return best, wait
 }
 
+func (p *pool) versions() (versions []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.order {
+		if s.eligible(Query{}) && !slices.Contains(versions, s.Version) {
+			versions = append(versions, s.Version)
+		}
+	}
+	return versions
+}
+
 // eligible reports whether the server may get the work at all.
 func (s *server) eligible(q Query) bool {
 	return !s.Leaving && !s.health.misdirected && !slices.Contains(q.Exclude, s.ID) && (q.Version == nil || s.Version == *q.Version)
--- a/internal/jobkeeper/fixture_test.go
+++ b/internal/jobkeeper/fixture_test.go
@@ -120,7 +120,7 @@
 		}
 		next = n + 1
 	}
-	return &forwarder.Answer{Outcome: forwarder.AnswerSucceeded, Status: 200, Stream: &itemStream{ctx: ctx, next: next, cut: cut, stall: stall}}, nil
+	return &forwarder.Answer{Outcome: forwarder.AnswerSucceeded, Status: 200, Stream: &itemStream{ctx: ctx, next: next, cut: cut, stall: stall, version: a.Backend.Version}}, nil
 }
 
 func (c *fakeClient) runsOfFirstItem() int {
@@ -134,6 +134,8 @@
 	next  int
 	cut   bool
 	stall chan struct{}
+	// version is that of the server; what it writes ends with it.
+	version string
 }
 
 func (s *itemStream) Next() (forwarder.Event, error) {
@@ -152,7 +154,7 @@
 	}
 	id := strconv.Itoa(s.next)
 	s.next++
-	return forwarder.Event{ID: id, Raw: []byte("id: " + id + "\ndata: t" + id + "\n\n")}, nil
+	return forwarder.Event{ID: id, Raw: []byte("id: " + id + "\ndata: t" + id + s.version + "\n\n")}, nil
 }
 
 func (s *itemStream) Close() {}
@@ -191,6 +193,8 @@
 type testCluster struct {
 	verdict       balancer.LossVerdict  // On all losses; guarded by client.mu.
 	waitingTokens int64                 // Limit of the route when a keeper starts.
+	versions      [3]string             // Of the three servers when a keeper starts.
+	placers       []*balancer.Balancer  // Of all keepers.
 	policies      []*routefinder.Finder // Of all keepers.
 	store         *storeemulator.Store
 	network       *fakeNetwork
@@ -218,11 +222,8 @@
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	placer := balancer.New(balancer.Config{Clock: clock, Logger: logger})
-	var backends []balancer.Backend
-	for _, server := range []string{"a", "b", "c"} {
-		backends = append(backends, balancer.Backend{ID: server, Service: "s", Address: server, Slots: 8})
-	}
-	placer.Install(backends)
+	placer.Install(backendsOf(c.versions))
+	c.placers = append(c.placers, placer)
 	policies := &routefinder.Finder{}
 	policies.Install(routefinder.Policy{Version: 1, Routes: []routefinder.Route{{
 		Name: "r", Kind: routefinder.KindBatch, MaxAttempts: 2, Targets: []routefinder.Target{{Service: "s", Weight: 1}},
@@ -247,6 +248,15 @@
 	return k
 }
 
+// backendsOf returns the servers a, b and c with their versions.
+func backendsOf(versions [3]string) (backends []balancer.Backend) {
+	for n, version := range versions {
+		id := string(rune('a' + n))
+		backends = append(backends, balancer.Backend{ID: id, Service: "s", Address: id, Slots: 8, Version: version})
+	}
+	return backends
+}
+
 func (c *testCluster) enroll(t *testing.T, m enroller.Member) {
 	t.Helper()
 	value, err := cbor.Marshal(m)
--- a/internal/jobkeeper/job.go
+++ b/internal/jobkeeper/job.go
@@ -67,6 +67,8 @@
 	After  string `cbor:"after"` // ID of the last event.
 	Events int    `cbor:"events"`
 	Text   string `cbor:"text"`
+	// Version is that of the servers that wrote the text. Earlier builds do not tell.
+	Version *string `cbor:"version,omitempty"`
 }
 
 // A Result is the final state of an item and its text.
@@ -134,8 +136,8 @@
 // restoreProgress applies the progress that a former owner saved.
 func (j *job) restoreProgress(saved []Progress) {
 	for _, p := range saved {
-		if t, ok := j.unfinished[p.Item]; ok {
-			t.after, t.events = p.After, p.Events
+		if t, ok := j.unfinished[p.Item]; ok && p.Version != nil {
+			t.after, t.events, t.version = p.After, p.Events, p.Version
 			t.text.WriteString(p.Text)
 			j.savedEvents += p.Events
 		}
--- a/internal/jobkeeper/keeper.go
+++ b/internal/jobkeeper/keeper.go
@@ -53,6 +53,7 @@
 type Placer interface {
 	Acquire(q balancer.Query) (*balancer.Placement, error)
 	WaitCapacity(service string) <-chan struct{}
+	Versions(service string) []string
 	JudgeLoss(server string, at time.Time) balancer.LossVerdict
 }
 
--- a/internal/jobkeeper/queue.go
+++ b/internal/jobkeeper/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +23,15 @@
 // seconds.
 const urgentWindow = 12 * time.Second
 
+const (
+	// versionPatience is how long an item that has begun waits for a server of its
+	// version while others have capacity, before it begins again.
+	versionPatience = 2 * time.Second
+	// maxPassedItems is the maximum number of items that are passed over in one search
+	// for an item to place.
+	maxPassedItems = 64
+)
+
 // A queueSet holds one queue of items for each service.
 type queueSet struct {
 	keeper *Keeper
@@ -130,23 +140,24 @@
 	return sequencer.Item{Due: due, Submitted: t.job.manifest.SubmittedAt, Events: t.progress().Events, Value: t}
 }
 
-// pop removes the next item that is not stopped. It reports false if none waits;
-// dispatchLoop then ends.
+// pop removes the next item that is not stopped. It reports false if none waits.
 func (q *itemQueue) pop() (item sequencer.Item, ok bool) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
 	for {
 		item, ok = q.sequencer.Pop()
-		if !ok {
-			q.dispatching = false
-			return item, false
-		}
-		if !taskOf(item).isStopped() && !q.keeper.isLeaving() {
-			return item, true
+		if !ok || !taskOf(item).isStopped() && !q.keeper.isLeaving() {
+			return item, ok
 		}
 	}
 }
 
+// endIfEmpty ends dispatchLoop if no item waits.
+func (q *itemQueue) endIfEmpty() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.dispatching = q.sequencer.Len() > 0
+	return !q.dispatching
+}
+
 func taskOf(item sequencer.Item) *task { return item.Value.(*task) }
 
 // dispatchLoop places items until the queue is empty. After each wait for capacity it
@@ -156,22 +167,71 @@
 	k := q.keeper
 	ctx := k.runContext()
 	for ctx.Err() == nil {
-		item, ok := q.pop()
-		if !ok {
-			return
-		}
 		capacityFreed := k.cfg.Placer.WaitCapacity(q.service)
-		placement, err := k.cfg.Placer.Acquire(balancer.Query{Service: q.service, Class: balancer.Batch, Urgent: q.urgent(item)})
-		if err != nil {
-			q.sequencer.Push(item)
-			waiter.Pause(ctx, k.cfg.Clock, capacityPollInterval, capacityFreed)
+		if q.placeNext(ctx) {
 			continue
 		}
-		k.running.Go(func() { q.runPlaced(ctx, taskOf(item), placement) })
+		if q.endIfEmpty() {
+			return
+		}
+		waiter.Pause(ctx, k.cfg.Clock, capacityPollInterval, capacityFreed)
 	}
 	q.clear()
 }
 
+// placeNext places the next item for which there is capacity. Items that have to go on
+// at a version whose servers are full do not hold up the others.
+func (q *itemQueue) placeNext(ctx context.Context) bool {
+	var passed []sequencer.Item
+	defer func() {
+		for _, item := range passed {
+			q.sequencer.Push(item)
+		}
+	}()
+	versions := q.keeper.cfg.Placer.Versions(q.service)
+	full := map[string]bool{} // Versions without capacity.
+	for len(passed) < maxPassedItems {
+		item, ok := q.pop()
+		if !ok {
+			return false
+		}
+		version := taskOf(item).boundVersion()
+		if version != nil && !slices.Contains(versions, *version) {
+			version = nil // The item begins again.
+		}
+		placement, err := q.acquire(item, version, full)
+		if err == nil {
+			q.keeper.running.Go(func() { q.runPlaced(ctx, taskOf(item), placement) })
+			return true
+		}
+		passed = append(passed, item)
+		if version == nil || len(versions) == 1 {
+			return false
+		}
+	}
+	return false
+}
+
+// acquire chooses a server for an item, one of the version if it is not nil. An item
+// begins again at another version if its own stays without capacity that others have.
+func (q *itemQueue) acquire(item sequencer.Item, version *string, full map[string]bool) (placement *balancer.Placement, err error) {
+	k := q.keeper
+	query := balancer.Query{Service: q.service, Class: balancer.Batch, Urgent: q.urgent(item), Version: version}
+	if version == nil {
+		return k.cfg.Placer.Acquire(query)
+	}
+	err = balancer.ErrFull
+	if !full[*version] {
+		placement, err = k.cfg.Placer.Acquire(query)
+		full[*version] = err != nil
+	}
+	if err != nil && taskOf(item).blocked(k.now()) >= versionPatience {
+		query.Version = nil
+		return k.cfg.Placer.Acquire(query)
+	}
+	return placement, err
+}
+
 // clear empties the queue when the keeper is stopped.
 func (q *itemQueue) clear() {
 	q.mu.Lock()
@@ -194,6 +254,11 @@
 		k.queues.enqueue(t)
 		return
 	}
+	if dropped := t.bind(placement.Backend.Version); dropped > 0 {
+		k.log(t.job.manifest.Job).WithFields(logrus.Fields{
+			"item": t.item.ID, "dropped-events": dropped, "server-version": placement.Backend.Version,
+		}).Info("item begins again at another version")
+	}
 	started, before := k.now(), t.progress().Events
 	o := k.run(ctx, t, route, q.service, placement)
 	if total := t.progress().Events; o.state == StateCompleted {
--- a/internal/jobkeeper/task.go
+++ b/internal/jobkeeper/task.go
@@ -55,9 +55,13 @@
 	stopped  bool               // The job was ended or lost.
 	text     strings.Builder    // Data of the events received so far.
 	events   int
-	after    string // ID of the last event.
-	failures int    // Responses that report a failure of the item.
-	losses   []loss // Servers that it may have crashed.
+	after    string  // ID of the last event.
+	version  *string // Version of the servers that wrote the text; nil before the first event.
+	failures int     // Responses that report a failure of the item.
+	losses   []loss  // Servers that it may have crashed.
+	// blockedSince is when the item was first passed over because the servers of its
+	// version had no capacity; zero if it was placed since.
+	blockedSince time.Time
 }
 
 // A loss is a run that lost the connection before the first event. Either the item
@@ -168,11 +172,47 @@
 func (t *task) progress() Progress {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return Progress{After: t.after, Events: t.events, Text: t.text.String()}
+	return Progress{After: t.after, Events: t.events, Text: t.text.String(), Version: t.version}
 }
 
-// appendEvent adds the next event to the text of the item. A comment is no event.
-func (t *task) appendEvent(event forwarder.Event) {
+// bind prepares the item for a run at a server of a version. What servers of another
+// version have written is dropped: the texts do not fit together. It returns the number
+// of events that were dropped.
+func (t *task) bind(version string) (dropped int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.blockedSince = time.Time{}
+	if t.version == nil || *t.version == version {
+		return 0
+	}
+	dropped = t.events
+	t.text.Reset()
+	t.events, t.after, t.version = 0, "", nil
+	return dropped
+}
+
+// boundVersion returns the version that the item has to go on at; nil if it may run at
+// any.
+func (t *task) boundVersion() *string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.version
+}
+
+// blocked records that the servers of the item's version have no capacity. It returns
+// how long that has been so.
+func (t *task) blocked(now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.blockedSince.IsZero() {
+		t.blockedSince = now
+	}
+	return now.Sub(t.blockedSince)
+}
+
+// appendEvent adds the next event, of a server of a version, to the text of the item. A
+// comment is no event.
+func (t *task) appendEvent(event forwarder.Event, version string) {
 	if _, ok := sender.EventField(event.Raw, "data"); !ok {
 		return
 	}
@@ -184,6 +224,7 @@
 	t.text.Write(sender.EventData(event.Raw))
 	t.events++
 	t.after = event.ID
+	t.version = &version
 }
 
 func (t *task) begin(cancel context.CancelFunc) bool {
@@ -240,7 +281,7 @@
 		return outcome{retryDelay: itemRetryDelay, cause: "no-stream"}, balancer.OutcomeDone
 	}
 	defer answer.Stream.Close()
-	return k.readEvents(t, placement.Backend.ID, answer.Stream)
+	return k.readEvents(t, placement.Backend, answer.Stream)
 }
 
 func (k *Keeper) afterFailure(t *task, route *routefinder.Route, answer *forwarder.Answer) outcome {
@@ -279,16 +320,16 @@
 }
 
 // readEvents reads the remaining events of the item.
-func (k *Keeper) readEvents(t *task, server string, stream forwarder.Stream) (outcome, balancer.Outcome) {
+func (k *Keeper) readEvents(t *task, server balancer.Backend, stream forwarder.Stream) (outcome, balancer.Outcome) {
 	for {
 		event, err := stream.Next()
 		if errors.Is(err, io.EOF) {
 			return outcome{state: StateCompleted}, balancer.OutcomeDone
 		}
 		if err != nil {
-			return k.afterError(t, server, err)
+			return k.afterError(t, server.ID, err)
 		}
-		t.appendEvent(event)
+		t.appendEvent(event, server.Version)
 	}
 }
 
