fix: a stream that a caller takes up goes on at the version that began it

Callers whose streams broke off took them up again, got 200, and read a text whose first part came from one software version of a server and the rest from another. Cause: nothing read the attempt that the caller names, and no instance but the one that had served it could know the version; after a restart of all instances nobody did, and the list of servers may show the new version only.

internal/resumer knows the source of streams. While a service has had servers of one version only in the last minute, that version is the answer, without a message. Otherwise each instance tells up to three peers, chosen by the hash of the stream, of each stream that may be resumed and begins at it, and the instance at which a caller takes one up asks them. Which versions have served lately is kept in the platform's store, one key for each, written once and removed a minute after the last server has left, so that an instance that starts knows of a version that has just gone. A stream whose version is not known, or has no server, is refused at once as not run. An instance that reaches neither the store nor a peer concludes nothing from its list.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"github.com/quetzalhitch/quetzalhitch/internal/balancer"
+	"github.com/quetzalhitch/quetzalhitch/internal/resumer"
 	"github.com/quetzalhitch/quetzalhitch/internal/retrier"
 	"github.com/quetzalhitch/quetzalhitch/internal/routefinder"
 	"github.com/quetzalhitch/quetzalhitch/internal/sender"
@@ -131,6 +132,13 @@
 	RecordLoss(parts []retrier.PartDigest, server, request string)
 }
 
+// Origins knows at which version of which service streams began. *resumer.Resumer
+// implements it.
+type Origins interface {
+	RecordBeginning(s resumer.Stream, services []string)
+	Find(ctx context.Context, id string, services []string) (source resumer.Source, known bool)
+}
+
 // A Clock tells the time and starts timers.
 type Clock interface {
 	Now() time.Time
@@ -147,6 +155,7 @@
 	CrashTracker CrashTracker
 	PartTracker  PartTracker
 	Trials       retrier.Trials
+	Origins      Origins
 	Meter        metric.Meter
 }
 
@@ -177,7 +186,7 @@
 // Forward serves a request. It returns when the answer is complete or, for a stream,
 // when the stream begins.
 func (f *Forwarder) Forward(ctx context.Context, q *Request) (*Response, *refuser.Refusal) {
-	r := &run{f: f, q: q, lastEventID: q.LastEventID, id: strconv.FormatUint(f.runs.Add(1), 10), digest: q.digest(), parts: q.suspectParts()}
+	r := &run{f: f, q: q, service: q.Service, lastEventID: q.LastEventID, id: strconv.FormatUint(f.runs.Add(1), 10), digest: q.digest(), parts: q.suspectParts()}
 	r.partCheck = retrier.PartCheck{States: f.cfg.PartTracker, Trials: f.cfg.Trials, Parts: r.parts}
 	response, refusal := r.start(ctx)
 	if refusal != nil || !response.isStream {
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/quetzalhitch/quetzalhitch/internal/balancer"
+	"github.com/quetzalhitch/quetzalhitch/internal/resumer"
 	"github.com/quetzalhitch/quetzalhitch/internal/retrier"
 	"github.com/quetzalhitch/quetzalhitch/internal/routefinder"
 	"github.com/quetzalhitch/quetzalhitch/internal/sender"
@@ -65,6 +66,16 @@
 
 func (s *scriptedStream) Close() {}
 
+// fakeOrigins knows the streams that begin and those in the map.
+type fakeOrigins map[string]resumer.Source
+
+func (o fakeOrigins) RecordBeginning(s resumer.Stream, _ []string) { o[s.ID] = s.Source }
+
+func (o fakeOrigins) Find(_ context.Context, id string, _ []string) (resumer.Source, bool) {
+	source, known := o[id]
+	return source, known
+}
+
 var errCut = &sender.Failure{Cause: sender.CauseConnectionLost, Dispatched: true, Err: io.ErrUnexpectedEOF}
 
 type fixture struct {
@@ -72,6 +83,7 @@
 	f        *Forwarder
 	clock    *clockwork.FakeClock
 	balancer *balancer.Balancer
+	origins  fakeOrigins
 }
 
 func newFixture(script ...func(Attempt) (*Answer, error)) *fixture {
@@ -91,15 +103,17 @@
 	}
 	placer.Install(backends)
 	client := &scriptedClient{script: script}
+	origins := fakeOrigins{}
 	f, err := New(Config{
 		Clock: clock, BackendClient: client, Placer: placer, Logger: logger, CrashTracker: retrier.New(retrier.Config{Clock: clock}),
 		PartTracker: retrier.NewParts(retrier.PartsConfig{Clock: clock, Judge: placer, Logger: logger}),
+		Origins:     origins,
 		Meter:       noop.Meter{},
 	})
 	if err != nil {
 		panic(err)
 	}
-	return &fixture{client: client, clock: clock, f: f, balancer: placer}
+	return &fixture{client: client, clock: clock, f: f, balancer: placer, origins: origins}
 }
 
 func (r *fixture) forward(route routefinder.Route) (*Response, *refuser.Refusal) {
@@ -241,6 +255,77 @@
 	})
 }
 
+// takeUp serves a request that takes up the stream "first" after its first event.
+func (r *fixture) takeUp(route routefinder.Route) (*Response, *refuser.Refusal) {
+	return r.f.Forward(context.Background(), &Request{
+		ID: "second", Route: &route, Service: "s", Method: "POST", Target: "/x", LastEventID: "1", Resumes: "first",
+		ArrivedAt: r.clock.Now(), Deadline: r.clock.Now().Add(5 * time.Second),
+	})
+}
+
+func assertTakeUpRefused(t *testing.T, r *fixture, route routefinder.Route) {
+	t.Helper()
+	_, refusal := r.takeUp(route)
+	assert.Assert(t, refusal != nil, "the stream goes on")
+	assert.Equal(t, refusal.Outcome, refuser.NotRun)
+	assert.Equal(t, len(r.client.attempts), 0)
+}
+
+// TestTakenUpStream guards against streams that callers take up and that go on at
+// another version, or although nobody knows which version began them.
+func TestTakenUpStream(t *testing.T) {
+	for _, version := range []string{"v1", "v2"} {
+		t.Run("it goes on at its version "+version, func(t *testing.T) {
+			r := newVersionFixture([]string{"v1", "v2", "v1", "v2"}, streamEvents(errCut, "2"), streamEvents(io.EOF, "3"))
+			r.origins["first"] = resumer.Source{Service: "s", Version: version}
+			response, refusal := r.takeUp(resumableRoute)
+			assert.Assert(t, refusal == nil, "refused: %v", refusal)
+			for {
+				if _, err := response.Next(); err != nil {
+					assert.ErrorIs(t, err, io.EOF)
+					break
+				}
+			}
+			assert.Equal(t, len(r.client.attempts), 2)
+			for _, a := range r.client.attempts {
+				assert.Equal(t, a.Backend.Version, version)
+			}
+		})
+	}
+	t.Run("it goes on at the service that began it", func(t *testing.T) {
+		r := newVersionFixture([]string{"v1"}, streamEvents(io.EOF, "2"))
+		r.balancer.Install([]balancer.Backend{{ID: "n", Service: "other", Slots: 4, Version: "v1"}, {ID: "m", Service: "s", Slots: 4, Version: "v1"}})
+		r.origins["first"] = resumer.Source{Service: "other", Version: "v1"}
+		route := resumableRoute
+		route.Targets = []routefinder.Target{{Service: "s", Weight: 1}, {Service: "other", Weight: 1}}
+		_, refusal := r.takeUp(route)
+		assert.Assert(t, refusal == nil, "refused: %v", refusal)
+		assert.Equal(t, r.client.attempts[0].Backend.ID, "n")
+	})
+	t.Run("the version is not known", func(t *testing.T) {
+		assertTakeUpRefused(t, newVersionFixture([]string{"v1"}, streamEvents(io.EOF, "2")), resumableRoute)
+	})
+	t.Run("no server of the version is left", func(t *testing.T) {
+		r := newVersionFixture([]string{"v2"}, streamEvents(io.EOF, "2"))
+		r.origins["first"] = resumer.Source{Service: "s", Version: "v1"}
+		assertTakeUpRefused(t, r, resumableRoute)
+	})
+	t.Run("the route no longer leads to the service", func(t *testing.T) {
+		r := newVersionFixture([]string{"v1"}, streamEvents(io.EOF, "2"))
+		r.origins["first"] = resumer.Source{Service: "former", Version: "v1"}
+		assertTakeUpRefused(t, r, resumableRoute)
+	})
+	t.Run("the beginning is recorded before the caller has the first event", func(t *testing.T) {
+		r := newVersionFixture([]string{"v1"}, streamEvents(io.EOF, "1"))
+		response, refusal := r.forward(resumableRoute)
+		assert.Assert(t, refusal == nil, "refused: %v", refusal)
+		assert.Equal(t, len(r.origins), 0)
+		_, err := response.Next()
+		assert.NilError(t, err)
+		assert.Equal(t, r.origins["q"].Version, "v1")
+	})
+}
+
 // TestDeadline guards against requests that are sent after their deadline.
 func TestDeadline(t *testing.T) {
 	r := newFixture(answerWith(AnswerSucceeded, 200))
--- a/internal/forwarder/run.go
+++ b/internal/forwarder/run.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/quetzalhitch/quetzalhitch/internal/balancer"
+	"github.com/quetzalhitch/quetzalhitch/internal/resumer"
 	"github.com/quetzalhitch/quetzalhitch/internal/retrier"
 	"github.com/quetzalhitch/quetzalhitch/internal/routefinder"
 	"github.com/quetzalhitch/quetzalhitch/internal/sender"
@@ -47,6 +49,7 @@
 	q *Request
 
 	ctx             context.Context
+	service         string // That of the request, or the one that began the stream.
 	placement       *balancer.Placement
 	stream          Stream
 	lastEventID     string   // ID of the last event passed to the caller.
@@ -77,6 +80,9 @@
 // start makes attempts until one answers or no further attempt is allowed.
 func (r *run) start(ctx context.Context) (*Response, *refuser.Refusal) {
 	r.ctx = ctx
+	if refusal := r.findOrigin(); refusal != nil {
+		return nil, refusal
+	}
 	answer, refusal := r.attemptUntilAnswered()
 	if refusal != nil {
 		return nil, refusal
@@ -98,6 +104,35 @@
 	return response, nil
 }
 
+// findOrigin binds a stream that the caller takes up to the version that began it, or
+// returns a refusal if that is not known.
+func (r *run) findOrigin() *refuser.Refusal {
+	if r.q.LastEventID == "" {
+		return nil
+	}
+	services := r.services()
+	source, known := r.f.cfg.Origins.Find(r.ctx, r.q.Resumes, services)
+	switch {
+	case !known:
+		return r.refuse(refuser.NoBackendServer, "it is not known which version of a backend server began the stream", 0)
+	case !slices.Contains(services, source.Service):
+		return r.refuse(refuser.NoBackendServer, "the route no longer leads to the service that began the stream", 0)
+	}
+	r.service, r.version = source.Service, &source.Version
+	return nil
+}
+
+// services returns the services that the route may go to.
+func (r *run) services() []string {
+	services := []string{r.q.Service}
+	for _, target := range r.q.Route.Targets {
+		if !slices.Contains(services, target.Service) {
+			services = append(services, target.Service)
+		}
+	}
+	return services
+}
+
 func (r *run) markFirstByte() {
 	if r.firstByte == 0 {
 		r.firstByte = r.now().Sub(r.q.ArrivedAt)
@@ -164,7 +199,7 @@
 		return r.refuse(refuser.RequestQuarantined, "backend servers crashed before they answered this request or others with a part of its prompt", 0)
 	}
 	placement, err := r.f.cfg.Placer.Acquire(balancer.Query{
-		Service: r.q.Service,
+		Service: r.service,
 		Class:   balancer.Online,
 		Exclude: r.excluded,
 		MaxWait: max(maxQueueWaitGoals*r.q.Route.Goal, minQueueWait),
@@ -374,9 +409,13 @@
 
 // recordVersion records the version that wrote the first event of the stream.
 func (r *run) recordVersion() {
-	if r.events == 1 && r.q.LastEventID == "" {
-		version := r.serverVersion
-		r.version = &version
+	if r.events != 1 || r.q.LastEventID != "" {
+		return
+	}
+	version := r.serverVersion
+	r.version = &version
+	if r.q.Route.Resumable {
+		r.f.cfg.Origins.RecordBeginning(resumer.Stream{ID: r.q.ID, Source: resumer.Source{Service: r.service, Version: version}}, r.services())
 	}
 }
 
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -416,6 +416,20 @@
 	})
 }
 
+// Isolated reports whether there are peers and none has sent a report within
+// peerTimeout.
+func (g *Gossiper) Isolated() bool {
+	now := g.cfg.Clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, p := range g.peers {
+		if now.Sub(p.lastReportAt) < peerTimeout {
+			return false
+		}
+	}
+	return len(g.peers) > 0
+}
+
 func (g *Gossiper) handleReport(_ context.Context, sender string, payload []byte) ([]byte, error) {
 	var r Report
 	if err := linker.Unmarshal(payload, &r); err != nil {
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -54,6 +54,7 @@
 	KindSnapshot        Kind = "snapshot"
 	KindSnapshotRequest Kind = "snapshot-request"
 	KindStore           Kind = "store"
+	KindStream          Kind = "stream"
 	KindSuspect         Kind = "suspect"
 	KindSuspectParts    Kind = "suspect-parts"
 	KindYield           Kind = "yield"
--- /dev/null
+++ b/internal/resumer/resumer.go
@@ -0,0 +1,237 @@
+// Package resumer knows at which server version a stream began, so that it goes on
+// there when its caller takes it up again, also at another instance. While several
+// versions may have begun streams, each instance tells a few peers of the streams that
+// begin at it. Which versions have served lately is kept in the platform's store, for
+// instances that restart.
+package resumer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/linker"
+	"github.com/quetzalhitch/quetzalhitch/internal/storer"
+	"github.com/quetzalhitch/quetzalhitch/internal/waiter"
+)
+
+const (
+	// shardCount is the number of shards of the stream table.
+	shardCount = 16
+	// streamRetention is how long a caller may take up a stream after it has begun.
+	streamRetention = time.Minute
+	// askTimeout is the longest wait for peers that may know a stream.
+	askTimeout = 250 * time.Millisecond
+	// tellTimeout is the timeout of a call that tells a peer of streams.
+	tellTimeout = 400 * time.Millisecond
+	// maxTells is the number of times that a peer is told of streams, tellRetryDelay
+	// apart, until a call succeeds.
+	maxTells       = 3
+	tellRetryDelay = 300 * time.Millisecond
+	// tellDelay is the time in which streams are gathered before peers are told.
+	tellDelay = 5 * time.Millisecond
+	// pruneInterval is the time between two removals of old streams.
+	pruneInterval = 10 * time.Second
+)
+
+// A Source identifies the servers that can go on with a stream.
+type Source struct {
+	_       struct{} `cbor:",toarray"`
+	Service string
+	Version string
+}
+
+// A Stream is a stream that has begun.
+type Stream struct {
+	_      struct{} `cbor:",toarray"`
+	ID     string   // ID of the caller's attempt whose answer brought the first event.
+	Source Source   // Of the first event.
+}
+
+// A Message tells a peer of streams, or asks it for one. The response has the streams
+// that were asked for, as far as the peer knows them.
+type Message struct {
+	Begun []Stream `cbor:"begun,omitempty"`
+	Ask   string   `cbor:"ask,omitempty"` // ID of a stream.
+}
+
+// Links are the links to the peers. *linker.Linker implements it.
+type Links interface {
+	Call(ctx context.Context, peer string, kind linker.Kind, request, response any) error
+	Handle(kind linker.Kind, h linker.Handler)
+}
+
+// A Store is the part of the platform's store that a resumer needs.
+type Store interface {
+	List(ctx context.Context, prefix string) (storer.Listing, error)
+	Commit(ctx context.Context, t storer.Transaction) (version int64, err error)
+}
+
+// Config holds the settings and dependencies of a resumer.
+type Config struct {
+	Instance string // ID of this instance.
+	Prefix   string // Prefix of the keys of versions that have served lately.
+	Links    Links
+	Store    Store
+	// Isolated reports whether this instance reaches neither the store nor a peer, so
+	// that its list of servers may be out of date.
+	Isolated func() bool
+	Clock    storer.Clock
+	Logger   logrus.FieldLogger
+}
+
+// A Resumer finds the source of streams.
+type Resumer struct {
+	cfg     Config
+	shards  [shardCount]shard
+	history history
+	outbox  outbox
+	keepers keeperSet
+	group   conc.WaitGroup
+}
+
+type shard struct {
+	mu      sync.Mutex
+	streams map[string]knownStream // By ID.
+}
+
+// A knownStream is a stream that this instance began or was told of.
+type knownStream struct {
+	source  Source
+	began   bool // At this instance.
+	knownAt time.Time
+}
+
+// New returns a resumer and registers its message handler. It must be called before the
+// links start.
+func New(cfg Config) *Resumer {
+	r := &Resumer{cfg: cfg}
+	for i := range r.shards {
+		r.shards[i].streams = map[string]knownStream{}
+	}
+	r.history.init()
+	r.outbox.init()
+	cfg.Links.Handle(linker.KindStream, linker.HandlerFunc(r.handle))
+	return r
+}
+
+// Start tells peers of streams, and keeps the versions in the store, until the context
+// ends.
+func (r *Resumer) Start(ctx context.Context) <-chan error {
+	ended := make(chan error, 1)
+	var loops conc.WaitGroup
+	loops.Go(func() { r.tellLoop(ctx) })
+	loops.Go(func() { r.storeLoop(ctx) })
+	loops.Go(func() {
+		for ctx.Err() == nil {
+			waiter.Pause(ctx, r.cfg.Clock, pruneInterval, nil)
+			r.prune()
+		}
+	})
+	go func() {
+		defer close(ended)
+		loops.Wait()
+		r.group.Wait()
+		ended <- nil
+	}()
+	return ended
+}
+
+// SetMembers sets the IDs of the other instances.
+func (r *Resumer) SetMembers(peers []string) {
+	grown := r.keepers.set(peers, r.cfg.Instance)
+	r.history.wake()
+	if grown {
+		for _, service := range r.history.mixed(r.now()) {
+			r.tellAll(service)
+		}
+	}
+}
+
+// SetSources sets the sources of the servers that are listed.
+func (r *Resumer) SetSources(listed []Source) {
+	for _, service := range r.history.observe(listed, r.now()) {
+		r.tellAll(service) // Until now its only version was known without asking.
+	}
+}
+
+// RecordBeginning records a stream whose first event is passed to the caller. Services
+// are those that the route may go to.
+func (r *Resumer) RecordBeginning(s Stream, services []string) {
+	r.record(s, true)
+	if _, only := r.history.only(services, r.now()); !only {
+		r.outbox.add(s, r.keepers.of(s.ID))
+	}
+}
+
+// Find returns the source of the stream that a caller takes up, if it is known.
+// Services are those that the route may go to; ID is empty if the caller does not name
+// the stream.
+func (r *Resumer) Find(ctx context.Context, id string, services []string) (source Source, known bool) {
+	if id != "" {
+		if source, known = r.local(id); known {
+			return source, true
+		}
+	}
+	if !r.cfg.Isolated() {
+		if source, known = r.history.only(services, r.now()); known {
+			return source, true
+		}
+	}
+	if id == "" {
+		return Source{}, false
+	}
+	return r.ask(ctx, id)
+}
+
+func (r *Resumer) now() time.Time { return r.cfg.Clock.Now() }
+
+func (r *Resumer) shard(id string) *shard { return &r.shards[xxhash.Sum64String(id)%shardCount] }
+
+func (r *Resumer) record(s Stream, began bool) {
+	sh := r.shard(s.ID)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	sh.streams[s.ID] = knownStream{source: s.Source, began: began, knownAt: r.now()}
+}
+
+func (r *Resumer) local(id string) (Source, bool) {
+	sh := r.shard(id)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	s, ok := sh.streams[id]
+	return s.source, ok
+}
+
+func (r *Resumer) prune() {
+	now := r.now()
+	for i := range r.shards {
+		sh := &r.shards[i]
+		sh.mu.Lock()
+		for id, s := range sh.streams {
+			if now.Sub(s.knownAt) > streamRetention {
+				delete(sh.streams, id)
+			}
+		}
+		sh.mu.Unlock()
+	}
+}
+
+// begunHere returns the streams of a service that began at this instance.
+func (r *Resumer) begunHere(service string) (streams []Stream) {
+	for i := range r.shards {
+		sh := &r.shards[i]
+		sh.mu.Lock()
+		for id, s := range sh.streams {
+			if s.began && s.source.Service == service {
+				streams = append(streams, Stream{ID: id, Source: s.source})
+			}
+		}
+		sh.mu.Unlock()
+	}
+	return streams
+}
--- /dev/null
+++ b/internal/resumer/resumer_test.go
@@ -0,0 +1,298 @@
+package resumer
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/emulator/storeemulator"
+	"github.com/quetzalhitch/quetzalhitch/internal/linker"
+)
+
+const service = "s"
+
+var (
+	v1 = Source{Service: service, Version: "v1"}
+	v2 = Source{Service: service, Version: "v2"}
+)
+
+// A fleet is a set of instances with a common store.
+type fleet struct {
+	clock *clockwork.FakeClock
+	store *storeemulator.Store
+
+	mu        sync.Mutex
+	instances map[string]*instance
+	calls     int // Calls between instances.
+}
+
+type instance struct {
+	*Resumer
+	fleet    *fleet
+	id       string
+	handler  linker.Handler
+	stop     func()
+	isolated bool
+}
+
+func newFleet(t *testing.T, n int) *fleet {
+	t.Helper()
+	f := &fleet{clock: clockwork.NewFakeClock(), store: storeemulator.New(clockwork.NewRealClock()), instances: map[string]*instance{}}
+	for i := range n {
+		f.start(t, fmt.Sprint("i", i))
+	}
+	f.setMembers(n)
+	return f
+}
+
+func (f *fleet) setMembers(n int) {
+	for id, i := range f.instances {
+		var peers []string
+		for m := range n {
+			if peer := fmt.Sprint("i", m); peer != id {
+				peers = append(peers, peer)
+			}
+		}
+		i.SetMembers(peers)
+	}
+}
+
+// start starts an instance that knows nothing. It has read the store when start returns.
+func (f *fleet) start(t *testing.T, id string) *instance {
+	t.Helper()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	i := &instance{fleet: f, id: id}
+	i.Resumer = New(Config{Instance: id, Prefix: "version/", Links: i, Store: f.store, Isolated: func() bool { return i.isolated }, Clock: f.clock, Logger: logger})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := i.Start(ctx)
+	i.stop = sync.OnceFunc(func() {
+		cancel()
+		assert.NilError(t, <-ended)
+	})
+	t.Cleanup(i.stop)
+	f.mu.Lock()
+	f.instances[id] = i
+	f.mu.Unlock()
+	await(t, func() bool {
+		i.history.mu.Lock()
+		defer i.history.mu.Unlock()
+		return i.history.loaded
+	})
+	return i
+}
+
+// kill ends an instance.
+func (f *fleet) kill(id string) {
+	f.instances[id].stop()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.instances, id)
+}
+
+// Handle implements Links.
+func (i *instance) Handle(_ linker.Kind, h linker.Handler) { i.handler = h }
+
+// Call implements Links.
+func (i *instance) Call(ctx context.Context, peer string, _ linker.Kind, request, response any) error {
+	i.fleet.mu.Lock()
+	i.fleet.calls++
+	to := i.fleet.instances[peer]
+	i.fleet.mu.Unlock()
+	if to == nil {
+		return linker.ErrUnreachable
+	}
+	payload, err := linker.Marshal(request)
+	if err != nil {
+		return err
+	}
+	answer, err := to.handler.Handle(ctx, i.id, payload)
+	if err != nil {
+		return err
+	}
+	return linker.Unmarshal(answer, response)
+}
+
+func (f *fleet) setSources(listed ...Source) {
+	for _, i := range f.instances {
+		i.SetSources(listed)
+	}
+}
+
+// settle lets the instances tell each other of the streams that have begun.
+func (f *fleet) settle() {
+	for range 5 {
+		time.Sleep(5 * time.Millisecond)
+		f.clock.Advance(tellDelay)
+	}
+	time.Sleep(20 * time.Millisecond)
+}
+
+func (f *fleet) storedSources(t *testing.T) int {
+	t.Helper()
+	l, err := f.store.List(t.Context(), "version/")
+	assert.NilError(t, err)
+	return len(l.Entries)
+}
+
+func await(t *testing.T, done func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !done() {
+			return poll.Continue("not yet")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
+}
+
+func assertSource(t *testing.T, i *instance, id string, want Source) {
+	t.Helper()
+	got, known := i.Find(t.Context(), id, []string{service})
+	assert.Assert(t, known, "the source is not known")
+	assert.Equal(t, got, want)
+}
+
+func assertUnknown(t *testing.T, i *instance, id string, services ...string) {
+	t.Helper()
+	source, known := i.Find(t.Context(), id, append(services, service))
+	assert.Assert(t, !known, "%v", source)
+}
+
+// TestOneVersion guards against streams that cannot go on, and against messages for
+// nothing, while a service has servers of one version only.
+func TestOneVersion(t *testing.T) {
+	f := newFleet(t, 4)
+	f.setSources(v1, v1)
+	for n := range 20 {
+		f.instances["i0"].RecordBeginning(Stream{ID: fmt.Sprint("q", n), Source: v1}, []string{service})
+	}
+	f.settle()
+	assertSource(t, f.instances["i1"], "q3", v1)
+	assertSource(t, f.instances["i1"], "", v1)
+	f.mu.Lock()
+	assert.Equal(t, f.calls, 0)
+	f.mu.Unlock()
+	t.Run("a route with a second service", func(t *testing.T) {
+		other := Source{Service: "other", Version: "v1"}
+		f.setSources(v1, other)
+		assertUnknown(t, f.instances["i1"], "elsewhere", "other")
+	})
+}
+
+// TestSeveralVersions guards against streams that go on at a version that did not begin
+// them, and against streams that cannot go on although an instance that knows them is
+// left.
+func TestSeveralVersions(t *testing.T) {
+	begin := func(t *testing.T, n int) *fleet {
+		f := newFleet(t, n)
+		f.setSources(v1, v2)
+		for n := range 20 {
+			source := v1
+			if n%2 == 1 {
+				source = v2
+			}
+			f.instances["i0"].RecordBeginning(Stream{ID: fmt.Sprint("q", n), Source: source}, []string{service})
+		}
+		f.settle()
+		return f
+	}
+	for _, n := range []int{2, 4, 33} {
+		t.Run(fmt.Sprintf("the first of %d instances is killed", n), func(t *testing.T) {
+			f := begin(t, n)
+			f.mu.Lock()
+			assert.Assert(t, f.calls <= keepersPerStream*20, "%d calls", f.calls)
+			f.mu.Unlock()
+			f.kill("i0")
+			for id := range f.instances {
+				assertSource(t, f.instances[id], "q4", v1)
+				assertSource(t, f.instances[id], "q5", v2)
+			}
+		})
+	}
+	t.Run("two of four instances are killed", func(t *testing.T) {
+		f := begin(t, 4)
+		f.kill("i0")
+		f.kill("i1")
+		for n := range 20 {
+			assertSource(t, f.instances["i2"], fmt.Sprint("q", n), []Source{v1, v2}[n%2])
+		}
+	})
+	t.Run("a stream that nobody knows", func(t *testing.T) {
+		f := begin(t, 4)
+		assertUnknown(t, f.instances["i2"], "other")
+		assertUnknown(t, f.instances["i2"], "")
+	})
+	t.Run("a stream that began before the second version came", func(t *testing.T) {
+		f := newFleet(t, 4)
+		f.setSources(v1)
+		f.instances["i0"].RecordBeginning(Stream{ID: "q0", Source: v1}, []string{service})
+		f.setSources(v1, v2)
+		f.settle()
+		f.kill("i0")
+		assertSource(t, f.instances["i1"], "q0", v1)
+	})
+	t.Run("a version has just left", func(t *testing.T) {
+		f := begin(t, 4)
+		f.setSources(v2)
+		assertUnknown(t, f.instances["i2"], "other")
+		f.clock.Advance(sourceRetention)
+		assertSource(t, f.instances["i2"], "other", v2)
+	})
+	t.Run("an instance that is cut off", func(t *testing.T) {
+		f := newFleet(t, 4)
+		f.setSources(v1)
+		f.instances["i3"].isolated = true
+		assertUnknown(t, f.instances["i3"], "q0")
+	})
+}
+
+// TestRestartOfAllInstances guards against streams that go on at another version after
+// all instances have restarted, when nobody remembers what began them.
+func TestRestartOfAllInstances(t *testing.T) {
+	restart := func(t *testing.T, f *fleet, listed ...Source) {
+		t.Helper()
+		for n := range 4 {
+			f.kill(fmt.Sprint("i", n))
+		}
+		for n := range 4 {
+			f.start(t, fmt.Sprint("i", n))
+		}
+		f.setMembers(4)
+		f.setSources(listed...)
+	}
+	t.Run("the version was replaced", func(t *testing.T) {
+		f := newFleet(t, 4)
+		f.setSources(v1)
+		await(t, func() bool { return f.storedSources(t) == 1 })
+		restart(t, f, v2)
+		assertUnknown(t, f.instances["i0"], "q0")
+		await(t, func() bool { return f.storedSources(t) == 2 })
+		f.clock.Advance(sourceRetention)
+		await(t, func() bool { return f.storedSources(t) == 1 })
+		assertSource(t, f.instances["i0"], "q0", v2)
+	})
+	t.Run("the version serves on", func(t *testing.T) {
+		f := newFleet(t, 4)
+		f.setSources(v1)
+		await(t, func() bool { return f.storedSources(t) == 1 })
+		restart(t, f, v1)
+		assertSource(t, f.instances["i0"], "q0", v1)
+	})
+	t.Run("the versions in the store were not read yet", func(t *testing.T) {
+		f := newFleet(t, 1)
+		f.setSources(v1)
+		h := &f.instances["i0"].history
+		h.mu.Lock()
+		h.loaded = false
+		h.mu.Unlock()
+		assertUnknown(t, f.instances["i0"], "q0")
+	})
+}
