fix: a server that says that it leaves gets no new requests

A server that shuts down says so in its answers (Server-Leaving); some never change their entry, or the entry expires in an outage of the store and comes again. Cause: nothing read the field, so requests went on to the server until its entry said draining or was gone.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -117,6 +117,7 @@
 	mu       sync.RWMutex // Guards the fields below; each pool has its own lock.
 	pools    map[string]*pool
 	position Position
+	leavers  map[throttler.Server]time.Time // When servers first said that they are shutting down.
 }
 
 // A Position is the index of an instance among those of its failure domain.
@@ -127,17 +128,20 @@
 
 // New returns a balancer without servers.
 func New(cfg Config) *Balancer {
-	return &Balancer{cfg: cfg, pools: map[string]*pool{}, position: Position{Count: 1}}
+	return &Balancer{cfg: cfg, pools: map[string]*pool{}, position: Position{Count: 1}, leavers: map[throttler.Server]time.Time{}}
 }
 
 // Install replaces the list of servers. Servers that remain keep their load.
 func (b *Balancer) Install(backends []Backend) {
 	byService := map[string][]Backend{}
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	for _, s := range backends {
+		if _, leaving := b.leavers[s.Start()]; leaving {
+			s.Leaving = true
+		}
 		byService[s.Service] = append(byService[s.Service], s)
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	for service := range byService {
 		if b.pools[service] == nil {
 			b.pools[service] = newPool()
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -9,6 +9,8 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/throttler"
 )
 
 const service = "model"
@@ -106,6 +108,21 @@
 		f.b.Install([]Backend{{ID: "a", Service: service, Slots: 4, Leaving: true}})
 		assertRefused(t, f, Online, ErrNoServer)
 	})
+	t.Run("no server that says that it leaves, until it has started again", func(t *testing.T) {
+		f := newFixture("a")
+		f.b.RecordLeaving(throttler.Server{ID: "a"})
+		assertRefused(t, f, Online, ErrNoServer)
+		a := Backend{ID: "a", Service: service, Slots: 4}
+		f.b.Install(nil)
+		f.b.Install([]Backend{a})
+		assertRefused(t, f, Online, ErrNoServer)
+		assert.DeepEqual(t, f.b.Leavers(), []throttler.Server{{ID: "a"}})
+		a.StartedAt = 9
+		f.b.Install([]Backend{a})
+		f.acquire(t, Online)
+		f.clock.Advance(leaverRetention + 1)
+		assert.Equal(t, len(f.b.Leavers()), 0)
+	})
 	t.Run("no server that was tried", func(t *testing.T) {
 		f := newFixture("a")
 		assertRefused(t, f, Online, ErrNoServer, "a")
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -66,6 +66,9 @@
 	Suspects []retrier.PartReport `cbor:"suspects,omitempty"`
 	// Limits are the limits that backend servers state, as the instance knows.
 	Limits []throttler.Report `cbor:"limits,omitempty"`
+	// Leavers are the backend servers that say that they are shutting down, as the
+	// instance knows.
+	Leavers []throttler.Server `cbor:"leavers,omitempty"`
 	// Connected reports whether the instance reads its copies from the store itself.
 	Connected bool `cbor:"connected"`
 
@@ -293,7 +296,7 @@
 	sequence := g.sequence
 	cellName := g.cell.Name
 	g.mu.Unlock()
-	r := Report{Incarnation: g.cfg.Self.Incarnation, CellName: cellName, Sequence: sequence, Loads: g.cfg.Balancer.LocalLoads(), Usages: g.cfg.Quotas.Report(), Versions: map[string]int64{}, Changes: map[string]int64{}, Jobs: g.cfg.JobOwners.NewlyOwnedJobs(), Waiting: g.cfg.JobOwners.WaitingTokens(), Suspects: g.cfg.Suspects.Report(), Limits: g.cfg.Limits.Report()}
+	r := Report{Incarnation: g.cfg.Self.Incarnation, CellName: cellName, Sequence: sequence, Loads: g.cfg.Balancer.LocalLoads(), Usages: g.cfg.Quotas.Report(), Versions: map[string]int64{}, Changes: map[string]int64{}, Jobs: g.cfg.JobOwners.NewlyOwnedJobs(), Waiting: g.cfg.JobOwners.WaitingTokens(), Suspects: g.cfg.Suspects.Report(), Limits: g.cfg.Limits.Report(), Leavers: g.cfg.Balancer.Leavers()}
 	r.Connected = true
 	for name, source := range g.cfg.Sources {
 		r.Versions[name] = source.Version()
@@ -366,6 +369,7 @@
 	g.cfg.JobOwners.RecordOwner(id, r.Jobs)
 	g.cfg.Suspects.ApplyReports(r.Suspects)
 	g.cfg.Limits.ApplyReports(id, r.Incarnation, r.Limits)
+	g.cfg.Balancer.RecordLeaving(r.Leavers...)
 	if r.Waiting != nil { // Earlier builds report none.
 		g.cfg.JobOwners.RecordWaiting(id, r.Waiting)
 	}
