fix: a refusal written twice is not taken for the answer to the next attempt

Cause: an attempt keeps the ID of its request, so that a refused request that comes to the same server again on the same connection cannot tell the second copy of the refusal from its answer. A connection now carries no second attempt of a request.

--- a/internal/sender/conn.go
+++ b/internal/sender/conn.go
@@ -3,8 +3,11 @@
 import (
 	"errors"
 	"net"
+	"slices"
 	"syscall"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // keepAlive detects an unreachable server within about ten seconds, also on idle
@@ -27,6 +30,26 @@
 	renewal time.Duration
 
 	idleSince time.Time // End of the last exchange; used only by the owner of the connection.
+	// carried are the IDs of the last requests, as hashes, oldest first; used only by the
+	// owner of the connection.
+	carried []uint64
+}
+
+// maxCarried is the number of requests that a connection remembers.
+const maxCarried = 128
+
+// carry records that the connection carries a request with an ID.
+func (c *conn) carry(id string) {
+	if len(c.carried) == maxCarried {
+		c.carried = slices.Delete(c.carried, 0, 1)
+	}
+	c.carried = append(c.carried, xxhash.Sum64String(id))
+}
+
+// hasCarried reports whether a request with the ID was sent on the connection before. A
+// second copy of its answer could not be told from the answer to the next attempt.
+func (c *conn) hasCarried(id string) bool {
+	return slices.Contains(c.carried, xxhash.Sum64String(id))
 }
 
 func (c *conn) idleLongerThan(limit time.Duration) bool {
--- a/internal/sender/exchange.go
+++ b/internal/sender/exchange.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"strings"
 	"time"
 
@@ -100,7 +101,7 @@
 			return err
 		}
 		e.conn = pooled.Conn().(*conn)
-		if e.conn.used && (e.conn.idleLongerThan(e.request.MaxIdleTime) || e.conn.isStale()) {
+		if e.conn.used && (e.conn.idleLongerThan(e.request.MaxIdleTime) || e.mayConfuse() || e.conn.isStale()) {
 			e.client.CloseConn(pooled)
 			continue
 		}
@@ -117,7 +118,16 @@
 	}
 }
 
+// mayConfuse reports whether the connection has carried an earlier attempt of the
+// request.
+func (e *exchange) mayConfuse() bool {
+	return e.request.EchoField.Name != "" && e.conn.hasCarried(e.request.EchoField.Value)
+}
+
 func (e *exchange) run() (*Answer, error) {
+	if e.request.EchoField.Name != "" {
+		e.conn.carry(e.request.EchoField.Value)
+	}
 	if err := e.write(); err != nil {
 		return nil, err
 	}
@@ -177,11 +187,11 @@
 	if e.request.EchoField.Name == "" {
 		return false
 	}
-	echoed := e.answer.Header.Peek(e.request.EchoField.Name)
+	echoed := e.answer.Header.PeekAll(e.request.EchoField.Name)
 	if len(echoed) == 0 {
 		return e.conn.used
 	}
-	return string(echoed) != e.request.EchoField.Value
+	return slices.ContainsFunc(echoed, func(value []byte) bool { return string(value) != e.request.EchoField.Value })
 }
 
 func (e *exchange) write() error {
--- a/internal/sender/trouble_test.go
+++ b/internal/sender/trouble_test.go
@@ -186,6 +186,8 @@
 		{"a second copy", answer("200 OK", "1", "first") + answer("200 OK", "2", "next"), "next"},
 		{"a refusal without an ID", answer("503 Busy", "", "full") + answer("200 OK", "2", "next"), "next"},
 		{"a misdirection without an ID", answer("421 Misdirected", "", "") + answer("200 OK", "2", "next"), "next"},
+		{"an answer that names two IDs", "HTTP/1.1 503 Busy\r\n" + echo + ": 2\r\n" + echo + ": 1\r\nContent-Length: 0\r\n\r\n" + answer("200 OK", "2", "next"), "next"},
+		{"an answer that names two IDs, the other one last", "HTTP/1.1 503 Busy\r\n" + echo + ": 1\r\n" + echo + ": 2\r\nContent-Length: 0\r\n\r\n" + answer("200 OK", "2", "next"), "next"},
 		{"only answers without an ID", strings.Repeat(answer("200 OK", "", "first"), maxMismatchedAnswers+1), ""},
 		{
 			"a second copy that is longer than answers may be",
