fix: streams to HTTP/1.0 callers have a length, not chunks

Reported by operators of similar systems: a stream had begun and broke off, the next server answered with an error, and the error's text stood in the stream, or the stream ended as if it were complete. TestInterruptedStream plays nine such answers over HTTP/1.1: none of them shows the fault here, each stream ends without its last chunk. Over HTTP/1.0 it did: chunks were sent, which HTTP/1.0 does not have, so that their sizes stood between the events and nothing told a caller where its stream was broken off.

Such a stream is now read to its end and sent with a length; one that is broken off is answered with 502.

--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -186,6 +186,22 @@
 		assert.Equal(t, strings.Count(body, "m-1-"), 3)
 	})
 
+	// Guards against chunks, which HTTP/1.0 does not have.
+	t.Run("a stream over HTTP/1.0 is a body with a length", func(t *testing.T) {
+		c, err := net.Dial("tcp", r.Address())
+		assert.NilError(t, err)
+		defer func() { _ = c.Close() }()
+		q := completionCall("marker:m-4", 5, true)
+		_, err = fmt.Fprintf(c, "%s %s HTTP/1.0\r\nHost: h\r\nAuthorization: %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", q.method, q.path, q.header["Authorization"], len(q.body), q.body)
+		assert.NilError(t, err)
+		raw, err := io.ReadAll(c)
+		assert.NilError(t, err)
+		head, body, _ := strings.Cut(string(raw), "\r\n\r\n")
+		assert.Assert(t, strings.Contains(head, fmt.Sprintf("Content-Length: %d", len(body))), "%q", head)
+		assert.Equal(t, strings.Count(body, "m-4-"), 5)
+		assert.Assert(t, strings.HasPrefix(body, "data:") && strings.Contains(body, "[DONE]"), "%q", body)
+	})
+
 	// Guards against engines that keep working after the caller has disconnected,
 	// before and after the first byte.
 	t.Run("a disconnect cancels the request", func(t *testing.T) {
--- a/internal/acceptor/dispatch.go
+++ b/internal/acceptor/dispatch.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 
 	"github.com/gofiber/fiber/v3"
 
@@ -77,9 +79,30 @@
 		c.Response().SetBodyRaw(start.body)
 		return nil
 	}
-	c.Response().SetBodyStream(&streamReader{pipe: pipe, onClose: func() {
+	stream := &streamReader{pipe: pipe, onClose: func() {
 		cancel(dispatcher.ErrCallerGone) // No effect once the dispatch has returned.
 		watch.Stop()
-	}}, -1)
+	}}
+	if !c.Request().Header.IsHTTP11() {
+		return writeWhole(c, stream)
+	}
+	c.Response().SetBodyStream(stream, -1)
+	return nil
+}
+
+// maxWholeBytes is the maximum size of a stream that is sent as a whole.
+const maxWholeBytes = 8 << 20
+
+// writeWhole writes a stream as a body with a length, because HTTP/1.0 has no chunks.
+func writeWhole(c fiber.Ctx, stream io.ReadCloser) (err error) {
+	defer func() { err = errors.Join(err, stream.Close()) }()
+	body, err := io.ReadAll(io.LimitReader(stream, maxWholeBytes+1))
+	if err != nil {
+		return err
+	}
+	if len(body) > maxWholeBytes {
+		return refuser.New(refuser.UpstreamFailed, refuser.Unknown, "the answer is too long for HTTP/1.0")
+	}
+	c.Response().SetBodyRaw(body)
 	return nil
 }
