--- a/internal/balancer/limit_test.go
+++ b/internal/balancer/limit_test.go
@@ -50,9 +50,9 @@
 	return f, throttle
 }
 
-func assertLimited(t *testing.T, f *fixture, class Class, after time.Duration, exclude ...string) {
+func assertLimited(t *testing.T, f *fixture, class Class, after time.Duration) {
 	t.Helper()
-	_, err := f.b.Acquire(Query{Service: service, Class: class, Exclude: exclude, MaxWait: time.Second})
+	_, err := f.b.Acquire(Query{Service: service, Class: class, MaxWait: time.Second})
 	var limited *LimitedError
 	assert.Assert(t, errors.As(err, &limited), "%v", err)
 	assert.Equal(t, limited.RetryAfter, after)
--- a/internal/jobkeeper/fixture_test.go
+++ b/internal/jobkeeper/fixture_test.go
@@ -327,14 +327,14 @@
 	}, poll.WithTimeout(10*time.Second), poll.WithDelay(10*time.Millisecond))
 }
 
-// awaitEvents waits until the unfinished items of a job have received n events.
-func awaitEvents(t *testing.T, j *job, n int) {
+// awaitFirstEvent waits until the unfinished items of a job have received one event.
+func awaitFirstEvent(t *testing.T, j *job) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		j.mu.Lock()
 		defer j.mu.Unlock()
-		if _, events := j.progress(); events != n {
-			return poll.Continue("%d events instead of %d", events, n)
+		if _, events := j.progress(); events != 1 {
+			return poll.Continue("%d events instead of 1", events)
 		}
 		return poll.Success()
 	})
--- a/internal/jobkeeper/version_test.go
+++ b/internal/jobkeeper/version_test.go
@@ -53,7 +53,7 @@
 		submit(t, k, manifest("i1"))
 		j, ok := k.owned(jobID)
 		assert.Assert(t, ok)
-		awaitEvents(t, j, 1)
+		awaitFirstEvent(t, j)
 		c.placers[0].Install(backendsOf([3]string{"v2", "v2", "v2"}))
 		close(stall)
 		assertOneVersion(t, awaitResults(t, k, 1), "v2")
@@ -69,7 +69,7 @@
 		submit(t, k1, manifest("i1"))
 		j, ok := k1.owned(jobID)
 		assert.Assert(t, ok)
-		awaitEvents(t, j, 1)
+		awaitFirstEvent(t, j)
 		assert.NilError(t, k1.save(t.Context(), j, 1))
 		c.terms["k1"].set(1, false)
 		c.removeFirstMember(t, k2)
@@ -86,7 +86,7 @@
 		submit(t, k, manifest("i1"))
 		j, ok := k.owned(jobID)
 		assert.Assert(t, ok)
-		awaitEvents(t, j, 1)
+		awaitFirstEvent(t, j)
 		occupy(t, c.placers[0], "v1")
 		for _, p := range busy {
 			p.Release(balancer.OutcomeDone)
@@ -102,7 +102,7 @@
 		submit(t, k, manifest("i1"))
 		j, ok := k.owned(jobID)
 		assert.Assert(t, ok)
-		awaitEvents(t, j, 1)
+		awaitFirstEvent(t, j)
 		occupy(t, c.placers[0], "v1")
 		time.Sleep(2 * itemRetryDelay) // The item waits for its version.
 		for _, p := range busy {
--- a/internal/resumer/resumer_test.go
+++ b/internal/resumer/resumer_test.go
@@ -66,7 +66,7 @@
 }
 
 // start starts an instance that knows nothing. It has read the store when start returns.
-func (f *fleet) start(t *testing.T, id string) *instance {
+func (f *fleet) start(t *testing.T, id string) {
 	t.Helper()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
@@ -87,7 +87,6 @@
 		defer i.history.mu.Unlock()
 		return i.history.loaded
 	})
-	return i
 }
 
 // kill ends an instance.
