fix: a server that asks for a pause gets one in the product's interface

There a server that is overloaded answers 429 or 503 with Retry-After; idempotent requests went on to the next server, and the following requests to the first one again.

The pause is known to the instance that was told only; the product's interface has no limit over all instances that a server could state.

--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -121,6 +121,7 @@
 	}
 	defer answer.Close()
 	r.dispatched = true
+	r.dispatcher.observePause(a.server, answer)
 	if isTemporary(answer.Status) && r.request.Route.Idempotent && r.decide(retrier.Dispatched, true).Retry {
 		r.triedServers = append(r.triedServers, a.server.Name())
 		return errTemporaryStatus
--- a/internal/dispatcher/dispatch_test.go
+++ b/internal/dispatcher/dispatch_test.go
@@ -158,6 +158,22 @@
 		assertRefused(t, r, q, refuser.DeadlineExceeded, refuser.Unknown)
 	})
 
+	// Guards against a server that asks for a pause and gets more requests all the while.
+	t.Run("a server that asks for a pause gets one", func(t *testing.T) {
+		for _, status := range []int{429, 503} {
+			r := newRig(t, 0, 2)
+			r.services[0].SetFault(serviceemulator.Fault{Status: status, RetryAfter: "1"})
+			for i := range 20 {
+				assertAnswered(t, r, call("GET", fmt.Sprint("/labels/l-", i), "", true), "pallet-l-")
+			}
+			assert.Assert(t, r.services[0].StatusFaults() <= 1, "%d calls were refused", r.services[0].StatusFaults())
+			r.services[0].SetFault(serviceemulator.Fault{})
+			r.services[1].SetFault(serviceemulator.Fault{Status: status, RetryAfter: "1"})
+			time.Sleep(1100 * time.Millisecond)
+			assertAnswered(t, r, call("GET", "/labels/l-30", "", true), "pallet-l-30")
+		}
+	})
+
 	// Guards against a 503 of one engine that reaches the caller although another
 	// engine is free.
 	t.Run("a busy engine is skipped", func(t *testing.T) {
--- a/internal/dispatcher/item.go
+++ b/internal/dispatcher/item.go
@@ -214,6 +214,7 @@
 		return result, err
 	}
 	defer answer.Close()
+	d.observePause(p.server, answer)
 	result = ItemResult{Status: answer.Status, ContentType: answer.ContentType(), Body: answer.Body}
 	for answer.Stream {
 		event, err := answer.Next()
--- a/internal/emulator/serviceemulator/fault.go
+++ b/internal/emulator/serviceemulator/fault.go
@@ -24,11 +24,15 @@
 	CloseReused   bool   `json:"close-reused,omitempty"`    // Calls after the first on a connection are executed, and the connection is closed without a response.
 	DelayMillis   int    `json:"delay-millis,omitempty"`    // Delay before the call is executed.
 	Status        int    `json:"status,omitempty"`          // The response is an error with this status.
+	RetryAfter    string `json:"retry-after,omitempty"`     // Header field Retry-After of that error.
 	Times         int    `json:"times,omitempty"`           // Number of calls that are affected; zero means all.
 	Leaving       bool   `json:"leaving,omitempty"`         // GET /health reports the state "leaving".
 	Unhealthy     bool   `json:"unhealthy,omitempty"`       // GET /health fails.
 }
 
+// StatusFaults returns the number of calls that were answered with Fault.Status.
+func (s *Service) StatusFaults() int64 { return s.statusFaults.Load() }
+
 // Fault returns the current faults.
 func (s *Service) Fault() Fault {
 	s.mu.Lock()
@@ -123,6 +127,10 @@
 	case f.Close:
 		emulator.CloseConnection(w)
 	case f.Status != 0:
+		s.statusFaults.Add(1)
+		if f.RetryAfter != "" {
+			w.Header().Set("Retry-After", f.RetryAfter)
+		}
 		http.Error(w, "fault", f.Status)
 	default:
 		return false
--- a/internal/emulator/serviceemulator/service.go
+++ b/internal/emulator/serviceemulator/service.go
@@ -6,6 +6,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/quetzalhitch/quetzalhitch/internal/emulator"
@@ -26,6 +27,8 @@
 	server  *emulator.Server
 	journal *emulator.Journal
 
+	statusFaults atomic.Int64 // Calls that were answered with Fault.Status.
+
 	mu     sync.Mutex
 	fault  Fault
 	orders map[string]int // Number of times that each order was placed, by order ID.
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -68,6 +68,7 @@
 	BatchLocal   int       // Batch items in flight from this process.
 	OnlinePeers  int       // Online requests in flight from other entries, from heartbeats.
 	BatchPeers   int       // Batch items in flight from other entries, from heartbeats.
+	PausedUntil  time.Time // Until then it gets no new requests, as it has asked for.
 	FailedAt     time.Time // Monotonic time of the last connection failure.
 	ReportedLoad int       // Load reported by the engine itself, which lags.
 }
--- a/internal/registrar/server.go
+++ b/internal/registrar/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/quetzalhitch/quetzalhitch/pkg/declarer"
 )
@@ -83,7 +84,7 @@
 func (s *Server) TryBeginBatch() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.eligible() || s.load().BatchHeadroom() < 1 {
+	if !s.eligible() || s.paused() || s.load().BatchHeadroom() < 1 {
 		return false
 	}
 	s.addLocal(Batch, 1)
@@ -158,6 +159,24 @@
 	s.state.ReportedLoad = n
 }
 
+// Pause records that the server asks for no new requests for a time.
+func (s *Server) Pause(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if until := s.clock.Now().Add(d); until.After(s.state.PausedUntil) {
+		s.state.PausedUntil = until
+	}
+}
+
+func (s *Server) paused() bool { return s.clock.Now().Before(s.state.PausedUntil) }
+
+// Paused reports whether the server has asked for a pause that is not over.
+func (s *Server) Paused() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.paused()
+}
+
 // Eligible reports whether the server accepts new requests.
 func (s *Server) Eligible() bool {
 	s.mu.Lock()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -283,6 +283,8 @@
 	return assigned
 }
 
+// excluded reports whether the request may not go to the server now: it was tried, or
+// has asked for a pause.
 func excluded(q Query, s *registrar.Server) bool {
-	return slices.Contains(q.Exclude, s.Name())
+	return slices.Contains(q.Exclude, s.Name()) || s.Paused()
 }
