--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -23,17 +23,6 @@
 	ErrFull = merry.Sentinel("all backend servers are full")
 )
 
-// A LimitedError means that every server that could take the work has a limit that
-// leaves no room for it now.
-type LimitedError struct {
-	RetryAfter time.Duration // When this instance expects to have room for it.
-}
-
-// Error implements error.
-func (e *LimitedError) Error() string {
-	return "the limits of the backend servers leave no room"
-}
-
 // A Class separates online requests from batch items.
 type Class int
 
@@ -84,19 +73,6 @@
 	After(d time.Duration) <-chan time.Time
 }
 
-// A Throttle keeps work within the limits that servers state. *throttler.Throttler
-// implements it.
-type Throttle interface {
-	// Wait returns the time until the server takes more work. Work that can wait leaves
-	// room for other work.
-	Wait(server throttler.Server, canWait bool) time.Duration
-	// Rate returns the work per second that is this instance's part of the server's
-	// limit; zero if it has none.
-	Rate(server throttler.Server) float64
-	// Take counts work that is sent to the server.
-	Take(server throttler.Server)
-}
-
 // A Config holds the settings and dependencies of a balancer.
 type Config struct {
 	Clock         Clock
--- a/internal/balancer/pool.go
+++ b/internal/balancer/pool.go
@@ -48,9 +48,6 @@
 	// initialDuration is the assumed duration of a request before the first one has
 	// completed.
 	initialDuration = 500 * time.Millisecond
-	// maxReturnDelay is the longest delay after which a caller returns that was refused
-	// for a limit: the limit may end earlier, and callers wait for a few seconds only.
-	maxReturnDelay = 1500 * time.Millisecond
 	// durationWeight is the weight of the latest request in the mean duration, an
 	// exponential moving average.
 	durationWeight = 0.05
@@ -318,40 +315,6 @@
 	return !s.Leaving && !s.health.misdirected && !slices.Contains(q.Exclude, s.ID) && (q.Version == nil || s.Version == *q.Version)
 }
 
-// limitWait returns the time until the server's limit leaves room for the work.
-func (s *server) limitWait(q Query, throttle Throttle) time.Duration {
-	if throttle == nil {
-		return 0
-	}
-	return throttle.Wait(s.Start(), q.Class == Batch && !q.Urgent)
-}
-
-// returnDelay returns when a caller is to return that the limits of all servers leave no
-// room for. Callers return one after the other at the rate of this instance's part of
-// the limits, so that they do not compete for the same room.
-func (p *pool) returnDelay(class Class, wait time.Duration, now time.Time, throttle Throttle) time.Duration {
-	if class == Batch {
-		return wait
-	}
-	rate := 0.0
-	for _, s := range p.order {
-		rate += throttle.Rate(s.Start())
-	}
-	next := now.Add(min(wait, maxReturnDelay))
-	if rate > 0 {
-		next = latest(next, p.nextReturnAt.Add(time.Duration(float64(time.Second)/rate)))
-	}
-	p.nextReturnAt = earliest(next, now.Add(maxReturnDelay))
-	return p.nextReturnAt.Sub(now)
-}
-
-func earliest(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
 // cost returns the load of a server relative to its slots, plus penalties. The
 // server with the lowest cost is chosen. For an online request, batch work counts
 // less, since it gives way.
--- a/internal/throttler/limit.go
+++ b/internal/throttler/limit.go
@@ -43,7 +43,7 @@
 	return &limit{filledAt: now, peers: map[string]peerUse{}, membersVersion: -1}
 }
 
-func (l *limit) state(rate float64, at, now time.Time) {
+func (l *limit) setRate(rate float64, at, now time.Time) {
 	if !l.limited {
 		l.level, l.filledAt = 0, now
 	}
--- a/internal/throttler/throttler.go
+++ b/internal/throttler/throttler.go
@@ -144,20 +144,22 @@
 			l = newLimit(now)
 			sh.limits[server] = l
 		}
-		t.state(server, l, s.Rate, now, "answer")
+		t.begin(server, l, s.Rate, now, "answer")
 	case l != nil && l.limited && s.SentAt.After(l.statedAt):
 		t.end(server, l, now, "answer")
 	}
 }
 
-func (t *Throttler) state(server Server, l *limit, rate float64, at time.Time, source string) {
+// begin records that an answer has stated a limit. The caller holds the lock of the shard.
+func (t *Throttler) begin(server Server, l *limit, rate float64, at time.Time, source string) {
 	changed := !l.limited || l.rate != max(rate, minRate)
-	l.state(rate, at, t.cfg.Clock.Now())
+	l.setRate(rate, at, t.cfg.Clock.Now())
 	if changed {
 		t.log(server, l).WithFields(logrus.Fields{"source": source, "holders": t.holdersOf(server, l)}).Info("backend server states a limit")
 	}
 }
 
+// end records that an answer has stated no limit. The caller holds the lock of the shard.
 func (t *Throttler) end(server Server, l *limit, at time.Time, source string) {
 	l.limited, l.statedAt = false, at
 	t.log(server, l).WithField("source", source).Info("limit of a backend server has ended")
@@ -219,6 +221,7 @@
 	l.recordOwn(t.cfg.Clock.Now())
 }
 
+// refill brings the room under a limit up to date. The caller holds the lock of the shard.
 func (t *Throttler) refill(server Server, l *limit) {
 	l.refill(t.share(server, l), t.cfg.Clock.Now())
 }
@@ -276,7 +279,7 @@
 	switch {
 	case !statedAt.After(l.statedAt):
 	case r.Limited:
-		t.state(r.Server, l, r.Rate, statedAt, peer)
+		t.begin(r.Server, l, r.Rate, statedAt, peer)
 	case l.limited:
 		t.end(r.Server, l, statedAt, peer)
 	}
