--- a/internal/jobkeeper/version_test.go
+++ b/internal/jobkeeper/version_test.go
@@ -78,32 +78,14 @@
 		assertOneVersion(t, awaitResults(t, k2, 1), "v2")
 	})
 	t.Run("an item begins again when the servers of its version stay full", func(t *testing.T) {
-		c := newTestCluster()
-		c.versions = [3]string{"v1", "v2", "v2"}
-		c.client.cuts["i1"] = 1
-		k := c.startKeeper(t, "k1")
-		busy := occupy(t, c.placers[0], "v2")
-		submit(t, k, manifest("i1"))
-		j, ok := k.owned(jobID)
-		assert.Assert(t, ok)
-		awaitFirstEvent(t, j)
-		occupy(t, c.placers[0], "v1")
+		_, k, busy := startBlockedItem(t)
 		for _, p := range busy {
 			p.Release(balancer.OutcomeDone)
 		}
 		assertOneVersion(t, awaitResults(t, k, 1), "v2")
 	})
 	t.Run("items that wait for their version do not hold up others", func(t *testing.T) {
-		c := newTestCluster()
-		c.versions = [3]string{"v1", "v2", "v2"}
-		c.client.cuts["i1"] = 1
-		k := c.startKeeper(t, "k1")
-		busy := occupy(t, c.placers[0], "v2")
-		submit(t, k, manifest("i1"))
-		j, ok := k.owned(jobID)
-		assert.Assert(t, ok)
-		awaitFirstEvent(t, j)
-		occupy(t, c.placers[0], "v1")
+		c, k, busy := startBlockedItem(t)
 		time.Sleep(2 * itemRetryDelay) // The item waits for its version.
 		for _, p := range busy {
 			p.Release(balancer.OutcomeDone)
@@ -124,6 +106,23 @@
 	})
 }
 
+// startBlockedItem starts an item that has begun at version v1, whose server is full. The
+// placements occupy the servers of version v2.
+func startBlockedItem(t *testing.T) (c *testCluster, k *Keeper, busy []*balancer.Placement) {
+	t.Helper()
+	c = newTestCluster()
+	c.versions = [3]string{"v1", "v2", "v2"}
+	c.client.cuts["i1"] = 1
+	k = c.startKeeper(t, "k1")
+	busy = occupy(t, c.placers[0], "v2")
+	submit(t, k, manifest("i1"))
+	j, ok := k.owned(jobID)
+	assert.Assert(t, ok)
+	awaitFirstEvent(t, j)
+	occupy(t, c.placers[0], "v1")
+	return c, k, busy
+}
+
 // occupy fills the servers of a version with online requests.
 func occupy(t *testing.T, b *balancer.Balancer, version string) (placements []*balancer.Placement) {
 	t.Helper()
--- a/internal/resumer/peers.go
+++ b/internal/resumer/peers.go
@@ -5,11 +5,11 @@
 	"slices"
 	"sync"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
 	"github.com/quetzalhitch/quetzalhitch/internal/linker"
+	"github.com/quetzalhitch/quetzalhitch/internal/ranker"
 	"github.com/quetzalhitch/quetzalhitch/internal/waiter"
 )
 
@@ -50,18 +50,7 @@
 
 // ranked returns the members with the highest hashes for an ID. The caller holds k.mu.
 func (k *keeperSet) ranked(id string) []string {
-	members := slices.Clone(k.members)
-	rank := func(member string) uint64 { return xxhash.Sum64String(id + "\x00" + member) }
-	slices.SortFunc(members, func(a, b string) int {
-		switch x, y := rank(a), rank(b); {
-		case x > y:
-			return -1
-		case x < y:
-			return 1
-		}
-		return 0
-	})
-	return members[:min(len(members), keepersPerStream)]
+	return ranker.Highest(id, k.members, keepersPerStream)
 }
 
 // An outbox holds the streams that peers are to be told of.
@@ -153,10 +142,10 @@
 			}
 		})
 	}
-	r.group.Go(func() {
+	go func() { // Ends with ctx.
 		calls.Wait()
 		close(found)
-	})
+	}()
 	s, known := <-found
 	if known {
 		r.record(s, false)
--- a/internal/throttler/limit.go
+++ b/internal/throttler/limit.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/quetzalhitch/quetzalhitch/internal/ranker"
 )
 
 // never is the wait of an instance that does not hold the limit of a server.
@@ -137,20 +137,6 @@
 		return l.holders
 	}
 	l.membersVersion, l.holdersRate = t.membersVersion, l.rate
-	members := slices.Clone(t.members)
-	slices.SortFunc(members, func(a, b string) int {
-		switch x, y := holderHash(server, a), holderHash(server, b); {
-		case x > y:
-			return -1
-		case x < y:
-			return 1
-		}
-		return 0
-	})
-	l.holders = members[:min(len(members), minHolders+int(l.rate))]
+	l.holders = ranker.Highest(server.ID, t.members, minHolders+int(l.rate))
 	return l.holders
 }
-
-func holderHash(server Server, instance string) uint64 {
-	return xxhash.Sum64String(server.ID + "\x00" + instance)
-}
