--- a/internal/balancer/leaving.go
+++ b/internal/balancer/leaving.go
@@ -40,8 +40,8 @@
 	}
 }
 
-// Leavers returns the servers that have lately said that they are shutting down, to be
-// reported to peers.
+// Leavers returns the servers that said within leaverReportTime that they are shutting
+// down, for the report to peers.
 func (b *Balancer) Leavers() (servers []throttler.Server) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -136,7 +136,7 @@
 // implements it.
 type Origins interface {
 	RecordBeginning(s resumer.Stream, services []string)
-	Find(ctx context.Context, id string, services []string) (source resumer.Source, known bool)
+	Find(ctx context.Context, id string, services []string) (origin resumer.Origin, known bool)
 }
 
 // A Clock tells the time and starts timers.
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -67,13 +67,13 @@
 func (s *scriptedStream) Close() {}
 
 // fakeOrigins knows the streams that begin and those in the map.
-type fakeOrigins map[string]resumer.Source
+type fakeOrigins map[string]resumer.Origin
 
-func (o fakeOrigins) RecordBeginning(s resumer.Stream, _ []string) { o[s.ID] = s.Source }
+func (o fakeOrigins) RecordBeginning(s resumer.Stream, _ []string) { o[s.ID] = s.Origin }
 
-func (o fakeOrigins) Find(_ context.Context, id string, _ []string) (resumer.Source, bool) {
-	source, known := o[id]
-	return source, known
+func (o fakeOrigins) Find(_ context.Context, id string, _ []string) (resumer.Origin, bool) {
+	origin, known := o[id]
+	return origin, known
 }
 
 var errCut = &sender.Failure{Cause: sender.CauseConnectionLost, Dispatched: true, Err: io.ErrUnexpectedEOF}
@@ -277,7 +277,7 @@
 	for _, version := range []string{"v1", "v2"} {
 		t.Run("it goes on at its version "+version, func(t *testing.T) {
 			r := newVersionFixture([]string{"v1", "v2", "v1", "v2"}, streamEvents(errCut, "2"), streamEvents(io.EOF, "3"))
-			r.origins["first"] = resumer.Source{Service: "s", Version: version}
+			r.origins["first"] = resumer.Origin{Service: "s", Version: version}
 			response, refusal := r.takeUp(resumableRoute)
 			assert.Assert(t, refusal == nil, "refused: %v", refusal)
 			for {
@@ -295,7 +295,7 @@
 	t.Run("it goes on at the service that began it", func(t *testing.T) {
 		r := newVersionFixture([]string{"v1"}, streamEvents(io.EOF, "2"))
 		r.balancer.Install([]balancer.Backend{{ID: "n", Service: "other", Slots: 4, Version: "v1"}, {ID: "m", Service: "s", Slots: 4, Version: "v1"}})
-		r.origins["first"] = resumer.Source{Service: "other", Version: "v1"}
+		r.origins["first"] = resumer.Origin{Service: "other", Version: "v1"}
 		route := resumableRoute
 		route.Targets = []routefinder.Target{{Service: "s", Weight: 1}, {Service: "other", Weight: 1}}
 		_, refusal := r.takeUp(route)
@@ -307,12 +307,12 @@
 	})
 	t.Run("no server of the version is left", func(t *testing.T) {
 		r := newVersionFixture([]string{"v2"}, streamEvents(io.EOF, "2"))
-		r.origins["first"] = resumer.Source{Service: "s", Version: "v1"}
+		r.origins["first"] = resumer.Origin{Service: "s", Version: "v1"}
 		assertTakeUpRefused(t, r, resumableRoute)
 	})
 	t.Run("the route no longer leads to the service", func(t *testing.T) {
 		r := newVersionFixture([]string{"v1"}, streamEvents(io.EOF, "2"))
-		r.origins["first"] = resumer.Source{Service: "former", Version: "v1"}
+		r.origins["first"] = resumer.Origin{Service: "former", Version: "v1"}
 		assertTakeUpRefused(t, r, resumableRoute)
 	})
 	t.Run("the beginning is recorded before the caller has the first event", func(t *testing.T) {
--- a/internal/forwarder/run.go
+++ b/internal/forwarder/run.go
@@ -111,14 +111,14 @@
 		return nil
 	}
 	services := r.services()
-	source, known := r.f.cfg.Origins.Find(r.ctx, r.q.Resumes, services)
+	origin, known := r.f.cfg.Origins.Find(r.ctx, r.q.Resumes, services)
 	switch {
 	case !known:
 		return r.refuse(refuser.NoBackendServer, "it is not known which version of a backend server began the stream", 0)
-	case !slices.Contains(services, source.Service):
+	case !slices.Contains(services, origin.Service):
 		return r.refuse(refuser.NoBackendServer, "the route no longer leads to the service that began the stream", 0)
 	}
-	r.service, r.version = source.Service, &source.Version
+	r.service, r.version = origin.Service, &origin.Version
 	return nil
 }
 
@@ -415,7 +415,7 @@
 	version := r.serverVersion
 	r.version = &version
 	if r.q.Route.Resumable {
-		r.f.cfg.Origins.RecordBeginning(resumer.Stream{ID: r.q.ID, Source: resumer.Source{Service: r.service, Version: version}}, r.services())
+		r.f.cfg.Origins.RecordBeginning(resumer.Stream{ID: r.q.ID, Origin: resumer.Origin{Service: r.service, Version: version}}, r.services())
 	}
 }
 
--- a/internal/resumer/history.go
+++ b/internal/resumer/history.go
@@ -6,22 +6,23 @@
 	"time"
 )
 
-// sourceRetention is how long after its last server has left a version may have begun a
+// originRetention is how long after its last server has left a version may have begun a
 // stream that a caller takes up.
-const sourceRetention = time.Minute
+const originRetention = time.Minute
 
-// A history tells which versions of each service have servers, or had some lately.
+// A history holds the versions of each service that have servers or had some within
+// originRetention.
 type history struct {
 	mu       sync.Mutex
 	loaded   bool                 // The versions in the store were read.
-	listed   map[Source]bool      // Sources with a server in the list.
-	lastSeen map[Source]time.Time // When a source was last listed.
-	stored   map[Source]bool      // Sources in the store, as far as this instance knows.
+	listed   map[Origin]bool      // Origins with a server in the list.
+	lastSeen map[Origin]time.Time // When a origin was last listed.
+	stored   map[Origin]bool      // Origins in the store, as far as this instance knows.
 	changed  chan struct{}
 }
 
 func (h *history) init() {
-	h.listed, h.lastSeen, h.stored = map[Source]bool{}, map[Source]time.Time{}, map[Source]bool{}
+	h.listed, h.lastSeen, h.stored = map[Origin]bool{}, map[Origin]time.Time{}, map[Origin]bool{}
 	h.changed = make(chan struct{}, 1)
 }
 
@@ -32,9 +33,9 @@
 	}
 }
 
-// observe records which sources are listed. It returns the services that have got a
-// second source.
-func (h *history) observe(listed []Source, now time.Time) (grown []string) {
+// observe records which origins are listed. It returns the services that have got a
+// second origin.
+func (h *history) observe(listed []Origin, now time.Time) (grown []string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for s := range h.listed {
@@ -52,7 +53,7 @@
 	return grown
 }
 
-// mixed returns the services whose streams may have several sources.
+// mixed returns the services whose streams may have several origins.
 func (h *history) mixed(now time.Time) (services []string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -64,8 +65,8 @@
 	return services
 }
 
-// load records the sources in the store. When they were last listed is not known.
-func (h *history) load(stored []Source, now time.Time) {
+// load records the origins in the store. When they were last listed is not known.
+func (h *history) load(stored []Origin, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, s := range stored {
@@ -75,15 +76,15 @@
 	h.loaded = true
 }
 
-// only returns the single source that streams of some services can have. It reports
+// only returns the single origin that streams of some services can have. It reports
 // false if there are several, or if this instance does not know of all.
-func (h *history) only(services []string, now time.Time) (s Source, ok bool) {
+func (h *history) only(services []string, now time.Time) (s Origin, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !h.loaded {
 		return s, false
 	}
-	var recent []Source
+	var recent []Origin
 	for n, service := range services {
 		if !slices.Contains(services[:n], service) {
 			recent = append(recent, h.recent(service, now)...)
@@ -95,19 +96,19 @@
 	return recent[0], true
 }
 
-// recent returns the sources of a service that may have begun a stream. The caller holds
+// recent returns the origins of a service that may have begun a stream. The caller holds
 // h.mu.
-func (h *history) recent(service string, now time.Time) (sources []Source) {
+func (h *history) recent(service string, now time.Time) (origins []Origin) {
 	for s, at := range h.lastSeen {
-		if s.Service == service && (h.listed[s] || now.Sub(at) < sourceRetention) {
-			sources = append(sources, s)
+		if s.Service == service && (h.listed[s] || now.Sub(at) < originRetention) {
+			origins = append(origins, s)
 		}
 	}
-	return sources
+	return origins
 }
 
-// pending returns the sources to write to the store and those to remove from it.
-func (h *history) pending(now time.Time) (write, remove []Source) {
+// pending returns the origins to write to the store and those to remove from it.
+func (h *history) pending(now time.Time) (write, remove []Origin) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for s := range h.listed {
@@ -116,7 +117,7 @@
 		}
 	}
 	for s, at := range h.lastSeen {
-		if h.listed[s] || now.Sub(at) < sourceRetention {
+		if h.listed[s] || now.Sub(at) < originRetention {
 			continue
 		}
 		if h.stored[s] {
@@ -128,7 +129,7 @@
 	return write, remove
 }
 
-func (h *history) setStored(s Source, stored bool) {
+func (h *history) setStored(s Origin, stored bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if stored {
--- a/internal/resumer/resumer.go
+++ b/internal/resumer/resumer.go
@@ -1,8 +1,8 @@
 // Package resumer knows at which server version a stream began, so that it goes on
 // there when its caller takes it up again, also at another instance. While several
-// versions may have begun streams, each instance tells a few peers of the streams that
-// begin at it. Which versions have served lately is kept in the platform's store, for
-// instances that restart.
+// versions may have begun streams, each instance notifies a few peers of the streams that
+// begin at it. The versions that have served within a minute are kept in the platform's
+// store, for instances that restart.
 package resumer
 
 import (
@@ -26,20 +26,20 @@
 	streamRetention = time.Minute
 	// askTimeout is the longest wait for peers that may know a stream.
 	askTimeout = 250 * time.Millisecond
-	// tellTimeout is the timeout of a call that tells a peer of streams.
-	tellTimeout = 400 * time.Millisecond
-	// maxTells is the number of times that a peer is told of streams, tellRetryDelay
-	// apart, until a call succeeds.
-	maxTells       = 3
-	tellRetryDelay = 300 * time.Millisecond
-	// tellDelay is the time in which streams are gathered before peers are told.
-	tellDelay = 5 * time.Millisecond
+	// notifyTimeout is the timeout of a call that notifies a peer of streams.
+	notifyTimeout = 400 * time.Millisecond
+	// maxNotifications is the maximum number of calls, notifyRetryDelay apart, that notify
+	// a peer of streams.
+	maxNotifications = 3
+	notifyRetryDelay = 300 * time.Millisecond
+	// notifyDelay is the time in which streams are gathered before peers are notified.
+	notifyDelay = 5 * time.Millisecond
 	// pruneInterval is the time between two removals of old streams.
 	pruneInterval = 10 * time.Second
 )
 
-// A Source identifies the servers that can go on with a stream.
-type Source struct {
+// A Origin identifies the servers that can go on with a stream.
+type Origin struct {
 	_       struct{} `cbor:",toarray"`
 	Service string
 	Version string
@@ -49,10 +49,10 @@
 type Stream struct {
 	_      struct{} `cbor:",toarray"`
 	ID     string   // ID of the caller's attempt whose answer brought the first event.
-	Source Source   // Of the first event.
+	Origin Origin   // Of the first event.
 }
 
-// A Message tells a peer of streams, or asks it for one. The response has the streams
+// A Message notifies a peer of streams, or asks it for one. The response has the streams
 // that were asked for, as far as the peer knows them.
 type Message struct {
 	Begun []Stream `cbor:"begun,omitempty"`
@@ -74,7 +74,7 @@
 // Config holds the settings and dependencies of a resumer.
 type Config struct {
 	Instance string // ID of this instance.
-	Prefix   string // Prefix of the keys of versions that have served lately.
+	Prefix   string // Prefix of the keys of versions that have served within originRetention.
 	Links    Links
 	Store    Store
 	// Isolated reports whether this instance reaches neither the store nor a peer, so
@@ -84,14 +84,14 @@
 	Logger   logrus.FieldLogger
 }
 
-// A Resumer finds the source of streams.
+// A Resumer finds the origin of streams.
 type Resumer struct {
-	cfg     Config
-	shards  [shardCount]shard
-	history history
-	outbox  outbox
-	keepers keeperSet
-	group   conc.WaitGroup
+	cfg      Config
+	shards   [shardCount]shard
+	history  history
+	outbox   outbox
+	replicas replicaSet
+	group    conc.WaitGroup
 }
 
 type shard struct {
@@ -99,9 +99,9 @@
 	streams map[string]knownStream // By ID.
 }
 
-// A knownStream is a stream that this instance began or was told of.
+// A knownStream is a stream that began at this instance or that a peer has reported.
 type knownStream struct {
-	source  Source
+	origin  Origin
 	began   bool // At this instance.
 	knownAt time.Time
 }
@@ -119,12 +119,12 @@
 	return r
 }
 
-// Start tells peers of streams, and keeps the versions in the store, until the context
+// Start notifies peers of streams, and keeps the versions in the store, until the context
 // ends.
 func (r *Resumer) Start(ctx context.Context) <-chan error {
 	ended := make(chan error, 1)
 	var loops conc.WaitGroup
-	loops.Go(func() { r.tellLoop(ctx) })
+	loops.Go(func() { r.notifyLoop(ctx) })
 	loops.Go(func() { r.storeLoop(ctx) })
 	loops.Go(func() {
 		for ctx.Err() == nil {
@@ -143,19 +143,19 @@
 
 // SetMembers sets the IDs of the other instances.
 func (r *Resumer) SetMembers(peers []string) {
-	grown := r.keepers.set(peers, r.cfg.Instance)
+	grown := r.replicas.set(peers, r.cfg.Instance)
 	r.history.wake()
 	if grown {
 		for _, service := range r.history.mixed(r.now()) {
-			r.tellAll(service)
+			r.notifyAll(service)
 		}
 	}
 }
 
-// SetSources sets the sources of the servers that are listed.
-func (r *Resumer) SetSources(listed []Source) {
+// SetOrigins sets the origins of the servers that are listed.
+func (r *Resumer) SetOrigins(listed []Origin) {
 	for _, service := range r.history.observe(listed, r.now()) {
-		r.tellAll(service) // Until now its only version was known without asking.
+		r.notifyAll(service) // Until now its only version was known without asking.
 	}
 }
 
@@ -164,26 +164,26 @@
 func (r *Resumer) RecordBeginning(s Stream, services []string) {
 	r.record(s, true)
 	if _, only := r.history.only(services, r.now()); !only {
-		r.outbox.add(s, r.keepers.of(s.ID))
+		r.outbox.add(s, r.replicas.of(s.ID))
 	}
 }
 
-// Find returns the source of the stream that a caller takes up, if it is known.
+// Find returns the origin of the stream that a caller takes up, if it is known.
 // Services are those that the route may go to; ID is empty if the caller does not name
 // the stream.
-func (r *Resumer) Find(ctx context.Context, id string, services []string) (source Source, known bool) {
+func (r *Resumer) Find(ctx context.Context, id string, services []string) (origin Origin, known bool) {
 	if id != "" {
-		if source, known = r.local(id); known {
-			return source, true
+		if origin, known = r.local(id); known {
+			return origin, true
 		}
 	}
 	if !r.cfg.Isolated() {
-		if source, known = r.history.only(services, r.now()); known {
-			return source, true
+		if origin, known = r.history.only(services, r.now()); known {
+			return origin, true
 		}
 	}
 	if id == "" {
-		return Source{}, false
+		return Origin{}, false
 	}
 	return r.ask(ctx, id)
 }
@@ -196,15 +196,15 @@
 	sh := r.shard(s.ID)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	sh.streams[s.ID] = knownStream{source: s.Source, began: began, knownAt: r.now()}
+	sh.streams[s.ID] = knownStream{origin: s.Origin, began: began, knownAt: r.now()}
 }
 
-func (r *Resumer) local(id string) (Source, bool) {
+func (r *Resumer) local(id string) (Origin, bool) {
 	sh := r.shard(id)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	s, ok := sh.streams[id]
-	return s.source, ok
+	return s.origin, ok
 }
 
 func (r *Resumer) prune() {
@@ -227,8 +227,8 @@
 		sh := &r.shards[i]
 		sh.mu.Lock()
 		for id, s := range sh.streams {
-			if s.began && s.source.Service == service {
-				streams = append(streams, Stream{ID: id, Source: s.source})
+			if s.began && s.origin.Service == service {
+				streams = append(streams, Stream{ID: id, Origin: s.origin})
 			}
 		}
 		sh.mu.Unlock()
--- a/internal/resumer/resumer_test.go
+++ b/internal/resumer/resumer_test.go
@@ -20,8 +20,8 @@
 const service = "s"
 
 var (
-	v1 = Source{Service: service, Version: "v1"}
-	v2 = Source{Service: service, Version: "v2"}
+	v1 = Origin{Service: service, Version: "v1"}
+	v2 = Origin{Service: service, Version: "v2"}
 )
 
 // A fleet is a set of instances with a common store.
@@ -120,22 +120,22 @@
 	return linker.Unmarshal(answer, response)
 }
 
-func (f *fleet) setSources(listed ...Source) {
+func (f *fleet) setOrigins(listed ...Origin) {
 	for _, i := range f.instances {
-		i.SetSources(listed)
+		i.SetOrigins(listed)
 	}
 }
 
-// settle lets the instances tell each other of the streams that have begun.
+// settle lets the instances notify each other of the streams that have begun.
 func (f *fleet) settle() {
 	for range 5 {
 		time.Sleep(5 * time.Millisecond)
-		f.clock.Advance(tellDelay)
+		f.clock.Advance(notifyDelay)
 	}
 	time.Sleep(20 * time.Millisecond)
 }
 
-func (f *fleet) storedSources(t *testing.T) int {
+func (f *fleet) storedOrigins(t *testing.T) int {
 	t.Helper()
 	l, err := f.store.List(t.Context(), "version/")
 	assert.NilError(t, err)
@@ -152,36 +152,36 @@
 	}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
 }
 
-func assertSource(t *testing.T, i *instance, id string, want Source) {
+func assertOrigin(t *testing.T, i *instance, id string, want Origin) {
 	t.Helper()
 	got, known := i.Find(t.Context(), id, []string{service})
-	assert.Assert(t, known, "the source is not known")
+	assert.Assert(t, known, "the origin is not known")
 	assert.Equal(t, got, want)
 }
 
 func assertUnknown(t *testing.T, i *instance, id string, services ...string) {
 	t.Helper()
-	source, known := i.Find(t.Context(), id, append(services, service))
-	assert.Assert(t, !known, "%v", source)
+	origin, known := i.Find(t.Context(), id, append(services, service))
+	assert.Assert(t, !known, "%v", origin)
 }
 
 // TestOneVersion guards against streams that cannot go on, and against messages for
 // nothing, while a service has servers of one version only.
 func TestOneVersion(t *testing.T) {
 	f := newFleet(t, 4)
-	f.setSources(v1, v1)
+	f.setOrigins(v1, v1)
 	for n := range 20 {
-		f.instances["i0"].RecordBeginning(Stream{ID: fmt.Sprint("q", n), Source: v1}, []string{service})
+		f.instances["i0"].RecordBeginning(Stream{ID: fmt.Sprint("q", n), Origin: v1}, []string{service})
 	}
 	f.settle()
-	assertSource(t, f.instances["i1"], "q3", v1)
-	assertSource(t, f.instances["i1"], "", v1)
+	assertOrigin(t, f.instances["i1"], "q3", v1)
+	assertOrigin(t, f.instances["i1"], "", v1)
 	f.mu.Lock()
 	assert.Equal(t, f.calls, 0)
 	f.mu.Unlock()
 	t.Run("a route with a second service", func(t *testing.T) {
-		other := Source{Service: "other", Version: "v1"}
-		f.setSources(v1, other)
+		other := Origin{Service: "other", Version: "v1"}
+		f.setOrigins(v1, other)
 		assertUnknown(t, f.instances["i1"], "elsewhere", "other")
 	})
 }
@@ -192,13 +192,13 @@
 func TestSeveralVersions(t *testing.T) {
 	begin := func(t *testing.T, n int) *fleet {
 		f := newFleet(t, n)
-		f.setSources(v1, v2)
+		f.setOrigins(v1, v2)
 		for n := range 20 {
-			source := v1
+			origin := v1
 			if n%2 == 1 {
-				source = v2
+				origin = v2
 			}
-			f.instances["i0"].RecordBeginning(Stream{ID: fmt.Sprint("q", n), Source: source}, []string{service})
+			f.instances["i0"].RecordBeginning(Stream{ID: fmt.Sprint("q", n), Origin: origin}, []string{service})
 		}
 		f.settle()
 		return f
@@ -207,12 +207,12 @@
 		t.Run(fmt.Sprintf("the first of %d instances is killed", n), func(t *testing.T) {
 			f := begin(t, n)
 			f.mu.Lock()
-			assert.Assert(t, f.calls <= keepersPerStream*20, "%d calls", f.calls)
+			assert.Assert(t, f.calls <= replicasPerStream*20, "%d calls", f.calls)
 			f.mu.Unlock()
 			f.kill("i0")
 			for id := range f.instances {
-				assertSource(t, f.instances[id], "q4", v1)
-				assertSource(t, f.instances[id], "q5", v2)
+				assertOrigin(t, f.instances[id], "q4", v1)
+				assertOrigin(t, f.instances[id], "q5", v2)
 			}
 		})
 	}
@@ -221,7 +221,7 @@
 		f.kill("i0")
 		f.kill("i1")
 		for n := range 20 {
-			assertSource(t, f.instances["i2"], fmt.Sprint("q", n), []Source{v1, v2}[n%2])
+			assertOrigin(t, f.instances["i2"], fmt.Sprint("q", n), []Origin{v1, v2}[n%2])
 		}
 	})
 	t.Run("a stream that nobody knows", func(t *testing.T) {
@@ -231,23 +231,23 @@
 	})
 	t.Run("a stream that began before the second version came", func(t *testing.T) {
 		f := newFleet(t, 4)
-		f.setSources(v1)
-		f.instances["i0"].RecordBeginning(Stream{ID: "q0", Source: v1}, []string{service})
-		f.setSources(v1, v2)
+		f.setOrigins(v1)
+		f.instances["i0"].RecordBeginning(Stream{ID: "q0", Origin: v1}, []string{service})
+		f.setOrigins(v1, v2)
 		f.settle()
 		f.kill("i0")
-		assertSource(t, f.instances["i1"], "q0", v1)
+		assertOrigin(t, f.instances["i1"], "q0", v1)
 	})
 	t.Run("a version has just left", func(t *testing.T) {
 		f := begin(t, 4)
-		f.setSources(v2)
+		f.setOrigins(v2)
 		assertUnknown(t, f.instances["i2"], "other")
-		f.clock.Advance(sourceRetention)
-		assertSource(t, f.instances["i2"], "other", v2)
+		f.clock.Advance(originRetention)
+		assertOrigin(t, f.instances["i2"], "other", v2)
 	})
 	t.Run("an instance that is cut off", func(t *testing.T) {
 		f := newFleet(t, 4)
-		f.setSources(v1)
+		f.setOrigins(v1)
 		f.instances["i3"].isolated = true
 		assertUnknown(t, f.instances["i3"], "q0")
 	})
@@ -256,7 +256,7 @@
 // TestRestartOfAllInstances guards against streams that go on at another version after
 // all instances have restarted, when nobody remembers what began them.
 func TestRestartOfAllInstances(t *testing.T) {
-	restart := func(t *testing.T, f *fleet, listed ...Source) {
+	restart := func(t *testing.T, f *fleet, listed ...Origin) {
 		t.Helper()
 		for n := range 4 {
 			f.kill(fmt.Sprint("i", n))
@@ -265,29 +265,29 @@
 			f.start(t, fmt.Sprint("i", n))
 		}
 		f.setMembers(4)
-		f.setSources(listed...)
+		f.setOrigins(listed...)
 	}
 	t.Run("the version was replaced", func(t *testing.T) {
 		f := newFleet(t, 4)
-		f.setSources(v1)
-		await(t, func() bool { return f.storedSources(t) == 1 })
+		f.setOrigins(v1)
+		await(t, func() bool { return f.storedOrigins(t) == 1 })
 		restart(t, f, v2)
 		assertUnknown(t, f.instances["i0"], "q0")
-		await(t, func() bool { return f.storedSources(t) == 2 })
-		f.clock.Advance(sourceRetention)
-		await(t, func() bool { return f.storedSources(t) == 1 })
-		assertSource(t, f.instances["i0"], "q0", v2)
+		await(t, func() bool { return f.storedOrigins(t) == 2 })
+		f.clock.Advance(originRetention)
+		await(t, func() bool { return f.storedOrigins(t) == 1 })
+		assertOrigin(t, f.instances["i0"], "q0", v2)
 	})
 	t.Run("the version serves on", func(t *testing.T) {
 		f := newFleet(t, 4)
-		f.setSources(v1)
-		await(t, func() bool { return f.storedSources(t) == 1 })
+		f.setOrigins(v1)
+		await(t, func() bool { return f.storedOrigins(t) == 1 })
 		restart(t, f, v1)
-		assertSource(t, f.instances["i0"], "q0", v1)
+		assertOrigin(t, f.instances["i0"], "q0", v1)
 	})
 	t.Run("the versions in the store were not read yet", func(t *testing.T) {
 		f := newFleet(t, 1)
-		f.setSources(v1)
+		f.setOrigins(v1)
 		h := &f.instances["i0"].history
 		h.mu.Lock()
 		h.loaded = false
--- a/internal/resumer/stored.go
+++ b/internal/resumer/stored.go
@@ -17,13 +17,13 @@
 const (
 	// storeRetryDelay is the delay before a failed call to the store is repeated.
 	storeRetryDelay = 500 * time.Millisecond
-	// storeInterval is the time between two looks for sources to remove.
+	// storeInterval is the time between two looks for origins to remove.
 	storeInterval = 10 * time.Second
 	// storeTimeout is the timeout of a call to the store.
 	storeTimeout = 2 * time.Second
 )
 
-// storeLoop reads the sources in the store once, and then keeps them up to date.
+// storeLoop reads the origins in the store once, and then keeps them up to date.
 func (r *Resumer) storeLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		err := r.load(ctx)
@@ -51,31 +51,31 @@
 	if err != nil {
 		return err
 	}
-	var sources []Source
+	var origins []Origin
 	for _, e := range listing.Entries {
-		var s Source
+		var s Origin
 		if err := cbor.Unmarshal(e.Value, &s); err != nil {
 			r.cfg.Logger.WithError(err).WithField("key", e.Key).Warn("ignoring invalid version entry")
 			continue
 		}
-		sources = append(sources, s)
+		origins = append(origins, s)
 	}
-	r.history.load(sources, r.now())
-	r.cfg.Logger.WithField("versions", len(sources)).Info("versions of servers that have served lately are known")
+	r.history.load(origins, r.now())
+	r.cfg.Logger.WithField("versions", len(origins)).Info("versions of servers that have served lately are known")
 	return nil
 }
 
-// store writes new sources and removes old ones. Of all instances those do it that are
-// the keepers of a source's key.
+// store writes new origins and removes old ones. Of all instances those do it that are
+// the replicas of a origin's key.
 func (r *Resumer) store(ctx context.Context) (err error) {
 	write, remove := r.history.pending(r.now())
 	for _, s := range write {
-		if r.keepers.includesSelf(r.key(s)) {
+		if r.replicas.includesSelf(r.key(s)) {
 			err = errors.Join(err, r.write(ctx, s))
 		}
 	}
 	for _, s := range remove {
-		if r.keepers.includesSelf(r.key(s)) {
+		if r.replicas.includesSelf(r.key(s)) {
 			err = errors.Join(err, r.remove(ctx, s))
 		} else {
 			r.history.setStored(s, false)
@@ -84,11 +84,11 @@
 	return err
 }
 
-func (r *Resumer) key(s Source) string {
+func (r *Resumer) key(s Origin) string {
 	return r.cfg.Prefix + url.PathEscape(s.Service) + "/" + url.PathEscape(s.Version)
 }
 
-func (r *Resumer) write(ctx context.Context, s Source) (err error) {
+func (r *Resumer) write(ctx context.Context, s Origin) (err error) {
 	defer func() { err = merry.Prependf(err, "store version %s of %s", s.Version, s.Service) }()
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -108,7 +108,7 @@
 	return nil
 }
 
-func (r *Resumer) remove(ctx context.Context, s Source) (err error) {
+func (r *Resumer) remove(ctx context.Context, s Origin) (err error) {
 	defer func() { err = merry.Prependf(err, "remove version %s of %s", s.Version, s.Service) }()
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
