feat: the age of each copy of the store's keys is a metric

The line that says that the store is lost names how long the watch had been pending, and follower.confirmed-age tells for each copy the time since the store or a peer last confirmed it. Both tell a watch without an answer from one that delivers changes that are not applied.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -82,6 +82,8 @@
 	version       int64 // Version of the store; zero before the first listing.
 	changedAt     int64 // Version of the last known change with the prefix.
 	connected     bool
+	confirmedAt   time.Time // When the store last answered a listing or a watch, or a peer sent a snapshot; zero before.
+	watchSentAt   time.Time // When the last watch was sent.
 	outage        bool      // A call failed and the store has not been listed since.
 	reconnectedAt time.Time // End of the last outage; zero during an outage and before the first.
 	// awaited is the version of a change that a peer knows of and that has not
@@ -178,6 +180,7 @@
 	defer cancel()
 	f.mu.Lock()
 	f.cancelWatch = cancel
+	f.watchSentAt = f.cfg.Clock.Now()
 	f.mu.Unlock()
 	defer func() {
 		f.mu.Lock()
@@ -257,10 +260,11 @@
 	f.connected = false
 	f.outage = true
 	version := f.version
+	watched := f.cfg.Clock.Now().Sub(f.watchSentAt)
 	f.reconnectedAt = time.Time{}
 	f.mu.Unlock()
 	if wasConnected {
-		f.cfg.Logger.WithError(err).WithFields(logrus.Fields{"follows": f.cfg.Name, "version": version}).Warn("platform store lost")
+		f.cfg.Logger.WithError(err).WithFields(logrus.Fields{"follows": f.cfg.Name, "version": version, "watched-ms": watched.Milliseconds()}).Warn("platform store lost")
 	}
 }
 
@@ -272,6 +276,7 @@
 	first := f.version == 0
 	now := f.cfg.Clock.Now()
 	f.connected, f.mustList = true, false
+	f.confirmedAt = now
 	if f.outage {
 		f.outage, f.reconnectedAt = false, now
 	}
@@ -323,6 +328,7 @@
 func (f *Follower) apply(changes []storer.Change, version int64) {
 	f.mu.Lock()
 	now := f.cfg.Clock.Now()
+	f.confirmedAt = now
 	changed := false
 	for _, c := range changes {
 		changed = true
@@ -379,6 +385,17 @@
 	return f.changedAt
 }
 
+// ConfirmedAge returns the time since the entries were last confirmed, by an answer of
+// the store or a snapshot of a peer; zero before the first.
+func (f *Follower) ConfirmedAge() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.confirmedAt.IsZero() {
+		return 0
+	}
+	return f.cfg.Clock.Now().Sub(f.confirmedAt)
+}
+
 // Connected reports whether the entries come directly from the store.
 func (f *Follower) Connected() bool {
 	f.mu.Lock()
@@ -396,6 +413,7 @@
 		return false
 	}
 	f.version, f.mustList = snapshot.Version, false
+	f.confirmedAt = f.cfg.Clock.Now()
 	f.changedAt = max(f.changedAt, snapshot.ChangedAt)
 	f.entries = make(map[string]storer.Entry, len(snapshot.Entries))
 	for _, e := range snapshot.Entries {
