--- a/internal/storer/storer.go
+++ b/internal/storer/storer.go
@@ -20,6 +20,9 @@
 	ErrHistoryLost = merry.Sentinel("history lost")
 	// ErrLeaseExpired means that the lease no longer exists.
 	ErrLeaseExpired = merry.Sentinel("lease expired")
+	// ErrNoAnswer is the cause of an ErrUnavailable or ErrUnknownEffect of a call that
+	// got no answer: other answers of the service may have been lost too.
+	ErrNoAnswer = merry.Sentinel("no answer from the platform")
 	// ErrNotFound means that the key does not exist.
 	ErrNotFound = merry.Sentinel("key not found")
 	// ErrRefused means that the service rejected the call as malformed. The
