fix: instances check in turns whether pending watches have missed changes

Callers saw, after a silence of the store of less than the 1.5 s between two renewals of a lease: changes were not in force for some eight seconds.

Cause: the watches of all instances were sent into the silence, and no other call met it, so that nothing showed that answers had been lost. The renewals of instances that started together come at the same time.

One that finds changes takes the listing and begins a new watch; the others hear from its reports that they are behind. In a fleet of cells the aggregators of each cell take turns.

TestMissedChanges fails if the checks are left out.

--- a/internal/enroller/position.go
+++ b/internal/enroller/position.go
@@ -36,8 +36,50 @@
 // its own failure domain as a fallback if it receives reports from none of them. It
 // returns none for an instance that follows the store itself.
 func (m Member) StoreFollowers(peers []Member) (ids []string) {
-	first := map[string]string{m.FailureDomain: m.ID} // First ID by failure domain.
-	present := 1
+	first, present := m.firstOfDomains(peers)
+	if present < minSharedFleetSize {
+		return nil
+	}
+	ids = storeFollowersOf(first)
+	if slices.Contains(ids, m.ID) {
+		return nil
+	}
+	if own := first[m.FailureDomain]; own != m.ID && !slices.Contains(ids, own) {
+		ids = append(ids, own)
+	}
+	return ids
+}
+
+// FollowerTurn returns the index of an instance among those that follow the store, and
+// their number. An instance that does not follow it has a turn of its own.
+func (m Member) FollowerTurn(peers []Member) (index, count int) {
+	var ids []string
+	first, present := m.firstOfDomains(peers)
+	switch cell := m.Cell(peers); {
+	case len(cell.Aggregators) > 0:
+		ids = cell.Aggregators
+	case present >= minSharedFleetSize:
+		ids = storeFollowersOf(first)
+	default:
+		ids = []string{m.ID}
+		for _, peer := range peers {
+			if !peer.Leaving {
+				ids = append(ids, peer.ID)
+			}
+		}
+	}
+	slices.Sort(ids)
+	if index = slices.Index(ids, m.ID); index < 0 {
+		return 0, 1
+	}
+	return index, len(ids)
+}
+
+// firstOfDomains returns the lowest ID in each failure domain, and the number of
+// instances, without those that are leaving.
+func (m Member) firstOfDomains(peers []Member) (first map[string]string, present int) {
+	first = map[string]string{m.FailureDomain: m.ID}
+	present = 1
 	for _, peer := range peers {
 		if peer.Leaving {
 			continue
@@ -47,18 +89,15 @@
 			first[peer.FailureDomain] = peer.ID
 		}
 	}
-	if present < minSharedFleetSize {
-		return nil
-	}
+	return first, present
+}
+
+// storeFollowersOf returns the first instances of up to maxStoreFollowers failure
+// domains.
+func storeFollowersOf(first map[string]string) (ids []string) {
 	domains := slices.Sorted(maps.Keys(first))
 	for _, domain := range domains[:min(len(domains), maxStoreFollowers)] {
 		ids = append(ids, first[domain])
 	}
-	if slices.Contains(ids, m.ID) {
-		return nil
-	}
-	if own := first[m.FailureDomain]; own != m.ID && !slices.Contains(ids, own) {
-		ids = append(ids, own)
-	}
 	return ids
 }
--- a/internal/enroller/position_test.go
+++ b/internal/enroller/position_test.go
@@ -43,3 +43,37 @@
 		assert.DeepEqual(t, storeFollowersOf(members, "a5"), []string{"a1", "b0", "c0"})
 	})
 }
+
+// TestFollowerTurn guards against fleets in which nobody checks whether watches have
+// missed changes, or all instances do at the same time.
+func TestFollowerTurn(t *testing.T) {
+	turnsOf := func(n int) (checking, maxCount int) {
+		var members []Member
+		for i := range n {
+			members = append(members, Member{ID: "i" + strconv.Itoa(100+i), FailureDomain: string(rune('a' + i%3))})
+		}
+		seen := map[int]bool{}
+		for i, m := range members {
+			peers := slices.Delete(slices.Clone(members), i, i+1)
+			if m.StoreFollowers(peers) != nil {
+				continue
+			}
+			index, count := m.FollowerTurn(peers)
+			seen[index] = true
+			maxCount = max(maxCount, count)
+		}
+		return len(seen), maxCount
+	}
+	for _, n := range []int{1, 2, 7} {
+		checking, count := turnsOf(n)
+		assert.Equal(t, checking, n)
+		assert.Equal(t, count, n)
+	}
+	checking, count := turnsOf(33)
+	assert.Equal(t, checking, maxStoreFollowers)
+	assert.Equal(t, count, maxStoreFollowers)
+	t.Run("in a fleet of cells the aggregators of a cell take turns", func(t *testing.T) {
+		_, count := turnsOf(100)
+		assert.Equal(t, count, aggregatorsPerCell)
+	})
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -53,6 +53,12 @@
 	ChangedAt int64          `cbor:"changed-at"` // Version of the last change with the prefix; at most Version.
 }
 
+// A Turn is the place of an instance among those that follow the store.
+type Turn struct {
+	Index int // From 0; below Count.
+	Count int // At least 1.
+}
+
 // A Config holds the parameters of a Follower.
 type Config struct {
 	Name   string // Used in log lines.
@@ -69,6 +75,11 @@
 	// UsePeerSnapshots reports whether to rely on snapshots from a peer that
 	// follows the store, which saves the calls of an own watch. Nil means never.
 	UsePeerSnapshots func() bool
+	// CheckInterval is the interval of checks, by one of the instances that follow the
+	// store at a time, whether a pending watch has missed changes; zero means never.
+	CheckInterval time.Duration
+	// Turn returns the turn of this instance. Nil means that it follows the store alone.
+	Turn func() Turn
 	// OnChange is called after each change, never concurrently.
 	OnChange func(snapshot Snapshot)
 }
@@ -152,7 +163,11 @@
 		f.replace(listing)
 		return nil
 	}
-	changes, version, err := f.watch(ctx, after)
+	changes, version, missed, err := f.watch(ctx, after)
+	if missed != nil {
+		f.replace(*missed)
+		return nil
+	}
 	if errors.Is(err, storer.ErrHistoryLost) {
 		f.cfg.Logger.WithFields(logrus.Fields{"follows": f.cfg.Name, "version": after}).Warn("change history unavailable, listing again")
 		f.mu.Lock()
@@ -174,8 +189,9 @@
 }
 
 // watch waits for changes. ObservePeerVersion cancels it when a peer knows of
-// changes that it should have delivered.
-func (f *Follower) watch(ctx context.Context, after int64) ([]storer.Change, int64, error) {
+// changes that it should have delivered. If a check finds such changes, watch returns
+// the listing that has them.
+func (f *Follower) watch(ctx context.Context, after int64) (changes []storer.Change, version int64, missed *storer.Listing, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.mu.Lock()
@@ -187,7 +203,80 @@
 		f.cancelWatch = nil
 		f.mu.Unlock()
 	}()
-	return f.cfg.Store.Watch(ctx, f.cfg.Prefix, after, f.watchDuration())
+	var checks conc.WaitGroup
+	if f.cfg.CheckInterval > 0 {
+		checks.Go(func() {
+			missed = f.checkWatch(ctx)
+			cancel()
+		})
+	}
+	changes, version, err = f.cfg.Store.Watch(ctx, f.cfg.Prefix, after, f.watchDuration())
+	cancel()
+	checks.Wait()
+	if err == nil {
+		missed = nil
+	}
+	return changes, version, missed, err
+}
+
+// checkWatch lists the keys in the turns of this instance until the context ends, or
+// until the listing has changes that the pending watch should have delivered. It
+// returns that listing.
+func (f *Follower) checkWatch(ctx context.Context) *storer.Listing {
+	for {
+		waiter.Pause(ctx, f.cfg.Clock, f.untilCheck(), nil)
+		if ctx.Err() != nil {
+			return nil
+		}
+		listing, err := f.cfg.Store.List(ctx, f.cfg.Prefix)
+		if err != nil {
+			continue // A call without an answer ends the watch; a refusal says nothing about it.
+		}
+		if f.isMissing(listing) {
+			f.cfg.Logger.WithFields(logrus.Fields{"follows": f.cfg.Name, "version": f.Version(), "listed-version": listing.Version}).
+				Warn("the watch has missed changes")
+			return &listing
+		}
+	}
+}
+
+// untilCheck returns the time until the next turn of this instance. The turns begin
+// when the watch is sent, which is after the same change at all instances.
+func (f *Follower) untilCheck() time.Duration {
+	turn := Turn{Count: 1}
+	if f.cfg.Turn != nil {
+		turn = f.cfg.Turn()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	first, period := time.Duration(turn.Index+1)*f.cfg.CheckInterval, time.Duration(turn.Count)*f.cfg.CheckInterval
+	pending := f.cfg.Clock.Now().Sub(f.watchSentAt)
+	if pending < first {
+		return first - pending
+	}
+	return period - (pending-first)%period
+}
+
+// isMissing reports whether a listing has changes that the copy lacks.
+func (f *Follower) isMissing(l storer.Listing) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if l.Version < f.version {
+		return false
+	}
+	present := make(map[string]bool, len(l.Entries))
+	for _, e := range l.Entries {
+		present[e.Key] = true
+		if f.entries[e.Key].Version < e.Version {
+			return true
+		}
+	}
+	for key := range f.entries {
+		if _, scheduled := f.removeAt[key]; !present[key] && !scheduled {
+			return true
+		}
+	}
+	return false
 }
 
 // ObservePeerVersion records the version of the last change with the prefix that
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -352,3 +352,48 @@
 	r.put(t, "k/last")
 	awaitKeys(t, r.follower, 3)
 }
+
+// TestMissedChanges guards against changes that stay hidden because the answers of all
+// watches were lost in a silence of the store that no other call met.
+func TestMissedChanges(t *testing.T) {
+	const interval = 100 * time.Millisecond
+	clock := clockwork.NewRealClock()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	start := func(t *testing.T, hang bool) *followerTest {
+		t.Helper()
+		r := &followerTest{store: storeemulator.New(clock)}
+		r.put(t, "k/a", "k/b")
+		hanging := &hangingWatchStore{Store: r.store}
+		hanging.watchesHang.Store(hang)
+		r.follower = New(Config{
+			Name: "test", Prefix: "k/", Store: hanging, Clock: clock, Logger: logger, OnChange: func(Snapshot) {},
+			CheckInterval: interval, Turn: func() Turn { return Turn{Index: 1, Count: 3} },
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := r.follower.Start(ctx)
+		t.Cleanup(func() {
+			cancel()
+			assert.NilError(t, <-ended)
+		})
+		awaitKeys(t, r.follower, 2)
+		return r
+	}
+	t.Run("a key was written", func(t *testing.T) {
+		r := start(t, true)
+		r.put(t, "k/c")
+		awaitKeys(t, r.follower, 3)
+	})
+	t.Run("a key was removed", func(t *testing.T) {
+		r := start(t, true)
+		r.remove(t, "k/a")
+		awaitKeys(t, r.follower, 1)
+	})
+	t.Run("without changes the watch goes on and checks come in turns", func(t *testing.T) {
+		r := start(t, false)
+		time.Sleep(9 * interval) // The turns are at 2, 5 and 8 intervals.
+		assert.Equal(t, r.store.Calls("watch"), 1)
+		lists := r.store.Calls("list")
+		assert.Assert(t, lists >= 3 && lists <= 4, "%d listings", lists)
+	})
+}
