feat: an instance tells a cut from all servers of a service from trouble of single ones

When a connection to a server fails, a few other servers are probed at once. If three of them in a row cannot be reached, or all, and no connection is opened meanwhile, the instance is cut off from the service. The log says so, how long it took, and when a server is in reach again. Answers on open connections prove nothing, since these may live on while new ones fail.

Refused probes do not count as crashes where a peer has reached the servers since the cut began (TestCrashBehindCut); nothing tells that yet.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -79,6 +79,7 @@
 	FailureDomain string
 	Probe         Probe
 	Throttle      Throttle // Nil if servers state no limits.
+	Peers         Peers    // Nil if no peer passes work on.
 	// OnBatchContention is called when an online request is placed on a server
 	// without a free slot that runs batch work of a peer, so that the peer can be
 	// told at once. It may be nil.
@@ -94,6 +95,8 @@
 	pools    map[string]*pool
 	position Position
 	leavers  map[throttler.Server]time.Time // When servers first said that they are shutting down.
+
+	probesDue chan struct{} // Wakes the prober.
 }
 
 // A Position is the index of an instance among those of its failure domain.
@@ -104,7 +107,7 @@
 
 // New returns a balancer without servers.
 func New(cfg Config) *Balancer {
-	return &Balancer{cfg: cfg, pools: map[string]*pool{}, position: Position{Count: 1}, leavers: map[throttler.Server]time.Time{}}
+	return &Balancer{cfg: cfg, pools: map[string]*pool{}, position: Position{Count: 1}, leavers: map[throttler.Server]time.Time{}, probesDue: make(chan struct{}, 1)}
 }
 
 // Install replaces the list of servers. Servers that remain keep their load.
@@ -165,7 +168,11 @@
 	if p == nil {
 		return nil, ErrNoServer
 	}
-	return p.acquire(q, b.cfg)
+	placement, err := p.acquire(q, b.cfg)
+	if err == nil {
+		placement.wakeProber = b.wakeProber
+	}
+	return placement, err
 }
 
 // Versions returns the versions of the servers of a service that take work.
--- a/internal/balancer/health.go
+++ b/internal/balancer/health.go
@@ -36,6 +36,8 @@
 	failureRate    float64 // Moving average, 0 to 1.
 	misdirected    bool
 	unreachable    bool // No connection could be opened; cleared by a successful probe or request.
+	presumed       bool // unreachable was only concluded from other servers of the failure domain.
+	sample         bool // Due for a probe that helps to tell whether this instance is cut off.
 	probing        bool
 	lost           bool      // It dropped a request, and no probe has shown yet whether it still listens.
 	nextProbeAt    time.Time // Used while the server is unreachable or lost.
@@ -57,7 +59,7 @@
 	switch outcome {
 	case OutcomeDone:
 		h.failureRate -= failureRateWeight * h.failureRate
-		h.unreachable = false
+		h.unreachable, h.presumed = false, false
 		if h.failureRate < suspectFailureRate {
 			h.suspectedUntil = time.Time{}
 		}
@@ -79,9 +81,23 @@
 	case OutcomeSilent:
 		h.failureRate += failureRateWeight * (1 - h.failureRate)
 		h.suspect(now)
+	}
+}
+
+// recordPeerOutcome records the outcome of work that a peer passed on. It says nothing
+// about the way from here to the server.
+func (h *health) recordPeerOutcome(outcome Outcome, now time.Time) {
+	switch outcome {
 	case OutcomeUnreachable:
-		h.unreachable = true
-		h.nextProbeAt = now.Add(probeRetryDelay)
+		h.suspect(now)
+	case OutcomeDone:
+		unreachable := h.unreachable
+		h.recordOutcome(outcome, now)
+		h.unreachable = unreachable
+	case OutcomeLost:
+		h.recordOutcome(OutcomeFailed, now)
+	default:
+		h.recordOutcome(outcome, now)
 	}
 }
 
@@ -98,11 +114,16 @@
 	return b
 }
 
+// probeDue reports whether the server is to be probed now.
+func (h *health) probeDue(now time.Time) bool {
+	return !h.probing && (h.sample || (h.unreachable || h.lost) && !now.Before(h.nextProbeAt))
+}
+
 // recordProbe records the result of a probe.
 func (h *health) recordProbe(reached bool, now time.Time) {
 	h.probing, h.lost = false, false
 	if reached {
-		h.unreachable = false
+		h.unreachable, h.presumed = false, false
 		return
 	}
 	h.unreachable = true
--- a/internal/balancer/loss.go
+++ b/internal/balancer/loss.go
@@ -50,7 +50,7 @@
 	defer b.mu.RUnlock()
 	now := b.cfg.Clock.Now()
 	for _, p := range b.pools {
-		if verdict, listed := p.judgeLoss(server, at, now); listed {
+		if verdict, listed := p.judgeLoss(server, at, now, b.cfg.Peers); listed {
 			return verdict
 		}
 	}
@@ -62,14 +62,16 @@
 	return b.JudgeLoss(server, at) == LossSurvived
 }
 
-func (p *pool) judgeLoss(id string, at, now time.Time) (verdict LossVerdict, listed bool) {
+func (p *pool) judgeLoss(id string, at, now time.Time, peers Peers) (verdict LossVerdict, listed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s, listed := p.servers[id]
-	switch {
-	case !listed:
+	if !listed {
 		return LossFatal, false
-	case s.installedAt.After(at), !s.crashedAt.Before(at) && s.crashedAt.Sub(at) < crashNotice:
+	}
+	crashed := !s.crashedAt.Before(at) && s.crashedAt.Sub(at) < crashNotice && !p.onlyCutOffHere(s.Service, peers)
+	switch {
+	case s.installedAt.After(at), crashed:
 		return LossFatal, true
 	case s.soundAt.After(at), now.Sub(at) >= lossObservation:
 		return LossSurvived, true
--- a/internal/balancer/placement.go
+++ b/internal/balancer/placement.go
@@ -23,15 +23,24 @@
 	OutcomeUnreachable Outcome = "unreachable" // No connection could be opened.
 )
 
+// isAnswer reports whether the server answered.
+func (o Outcome) isAnswer() bool {
+	return o == OutcomeDone || o == OutcomeFailed || o == OutcomeFull || o == OutcomeMisdirected
+}
+
 // A Placement is work that is counted on a server until it is released.
 type Placement struct {
 	Backend Backend
 	Load    int // Requests in flight on the server before this one, as known to this instance.
+	// ThroughPeer means that a peer has to pass the work on, because this instance is cut
+	// off from the servers of the service.
+	ThroughPeer bool
 
 	class        Class
 	pool         *pool
 	server       *server
 	cfg          Config
+	wakeProber   func() // Starts the probes that are due.
 	startedAt    time.Time
 	preempted    chan struct{} // Closed when batch work is preempted; nil for online requests.
 	wasPreempted bool          // Guarded by pool.mu.
@@ -90,10 +99,19 @@
 		s.soundAt = latest(s.soundAt, placement.startedAt)
 	}
 	before := s.health.suspected(now)
-	s.health.recordOutcome(outcome, now)
 	marked := 0
-	if outcome == OutcomeUnreachable {
+	switch {
+	case placement.ThroughPeer:
+		s.health.recordPeerOutcome(outcome, now)
+	case outcome == OutcomeUnreachable:
+		p.recordUnreachable(s, now, placement.cfg)
 		marked = p.scheduleDomainProbes(s.FailureDomain, now)
+		defer placement.wakeProber()
+	default:
+		s.health.recordOutcome(outcome, now)
+		if outcome.isAnswer() {
+			p.reach.reachedAt = now
+		}
 	}
 	if after := s.health.suspected(now); after != before && outcome != OutcomeFull {
 		placement.cfg.Logger.WithFields(logrus.Fields{
--- a/internal/balancer/pool.go
+++ b/internal/balancer/pool.go
@@ -104,6 +104,7 @@
 	// onlineRefusedAt is when an online request was last refused for want of room.
 	onlineRefusedAt time.Time
 	nextReturnAt    time.Time // When the caller that was refused last for a limit is to return.
+	reach           reach
 }
 
 func newPool() *pool {
@@ -164,7 +165,8 @@
 		defer p.mu.Unlock()
 		return nil, ErrFull
 	}
-	s, wait := p.selectServer(q, cfg, now)
+	throughPeer := p.reach.cutOff && cfg.Peers != nil && cfg.Peers.TakesWork(q.Service)
+	s, wait := p.selectServer(q, cfg, now, throughPeer)
 	if s == nil {
 		defer p.mu.Unlock()
 		if wait > 0 {
@@ -184,7 +186,7 @@
 		p.onlineRefusedAt = now
 		return nil, ErrFull
 	}
-	placement := &Placement{Backend: s.Backend, Load: s.load(), class: q.Class, pool: p, server: s, cfg: cfg, startedAt: now}
+	placement := &Placement{Backend: s.Backend, Load: s.load(), ThroughPeer: throughPeer, class: q.Class, pool: p, server: s, cfg: cfg, startedAt: now}
 	s.health.startAttempt(now)
 	if cfg.Throttle != nil {
 		cfg.Throttle.Take(s.Start())
@@ -259,16 +261,21 @@
 
 // selectServer returns the server with the lowest cost among those that are not
 // suspected. If there is none, online requests fall back to suspected servers. If all
-// servers have a limit that leaves no room, it returns the time until one has.
-func (p *pool) selectServer(q Query, cfg Config, now time.Time) (s *server, wait time.Duration) {
-	s, wait = p.lowestCost(q, cfg, now, false)
+// servers have a limit that leaves no room, it returns the time until one has. For work
+// that goes through a peer, it does not matter which servers are in reach from here.
+func (p *pool) selectServer(q Query, cfg Config, now time.Time, throughPeer bool) (s *server, wait time.Duration) {
+	usable := func(s *server) bool { return !s.health.suspected(now) }
+	if throughPeer {
+		usable = func(s *server) bool { return !now.Before(s.health.suspectedUntil) }
+	}
+	s, wait = p.lowestCost(q, cfg, usable)
 	if s != nil || wait > 0 || q.Class == Batch {
 		return s, wait
 	}
-	return p.lowestCost(q, cfg, now, true)
+	return p.lowestCost(q, cfg, func(s *server) bool { return !usable(s) })
 }
 
-func (p *pool) lowestCost(q Query, cfg Config, now time.Time, suspected bool) (best *server, wait time.Duration) {
+func (p *pool) lowestCost(q Query, cfg Config, usable func(s *server) bool) (best *server, wait time.Duration) {
 	if len(p.order) == 0 {
 		return nil, 0
 	}
@@ -277,7 +284,7 @@
 	start := rand.IntN(len(p.order))
 	for i := range p.order {
 		s := p.order[(start+i)%len(p.order)]
-		if !s.eligible(q) || s.health.suspected(now) != suspected {
+		if !s.eligible(q) || !usable(s) {
 			continue
 		}
 		if limited := s.limitWait(q, cfg.Throttle); limited > 0 {
--- a/internal/balancer/prober.go
+++ b/internal/balancer/prober.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -48,6 +49,15 @@
 	select {
 	case <-ctx.Done():
 	case <-b.cfg.Clock.After(probeInterval):
+	case <-b.probesDue:
+	}
+}
+
+// wakeProber starts the probes that are due without waiting for the next check.
+func (b *Balancer) wakeProber() {
+	select {
+	case b.probesDue <- struct{}{}:
+	default:
 	}
 }
 
@@ -68,15 +78,30 @@
 	return due
 }
 
+// appendDueProbes appends the servers that are due, those that have waited longest first
+// and only a few of them at a time.
 func (p *pool) appendDueProbes(due []dueProbe, now time.Time) []dueProbe {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	limit := maxProbesPerInterval
+	if p.reach.cutOff {
+		if now.Before(p.reach.nextProbes) {
+			return due
+		}
+		p.reach.nextProbes = now.Add(probeRetryDelay)
+		limit = cutOffProbes
+	}
+	var waiting []*server
 	for _, s := range p.order {
-		if (s.health.unreachable || s.health.lost) && !s.health.probing && !now.Before(s.health.nextProbeAt) {
-			s.health.probing = true
-			due = append(due, dueProbe{pool: p, server: s, backend: s.Backend})
+		if s.health.probeDue(now) {
+			waiting = append(waiting, s)
 		}
 	}
+	slices.SortStableFunc(waiting, func(a, b *server) int { return a.health.nextProbeAt.Compare(b.health.nextProbeAt) })
+	for _, s := range waiting[:min(len(waiting), limit)] {
+		s.health.probing, s.health.sample = true, false
+		due = append(due, dueProbe{pool: p, server: s, backend: s.Backend})
+	}
 	return due
 }
 
@@ -88,7 +113,13 @@
 	}
 	d.pool.mu.Lock()
 	wasUnreachable := d.server.health.unreachable
-	crashed := d.server.recordProbe(err, startedAt, b.cfg.Clock.Now())
+	now := b.cfg.Clock.Now()
+	if err == nil {
+		d.pool.recordConnected(d.backend.Service, now, b.cfg)
+	} else {
+		d.pool.recordUnreachable(d.server, now, b.cfg)
+	}
+	crashed := d.server.recordProbe(err, startedAt, now)
 	d.pool.signalCapacity()
 	d.pool.mu.Unlock()
 	logger := b.cfg.Logger.WithFields(logrus.Fields{"backend-server": d.backend.ID, "failure-domain": d.backend.FailureDomain})
@@ -116,7 +147,7 @@
 	}
 	for _, s := range p.order {
 		if s.FailureDomain == domain && !s.health.unreachable {
-			s.health.unreachable = true
+			s.health.unreachable, s.health.presumed = true, true
 			s.health.nextProbeAt = now
 			marked++
 		}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -54,6 +54,15 @@
 	MaxConns       int           // Per server and traffic class.
 	MaxAnswerBytes int           // Limit for a non-streaming answer.
 	MaxStreamBytes int           // Limit for a stream.
+	Dialer         Dialer        // Nil means TCP with keep-alives and DialTimeout.
+	// Connected is called with the address of each connection that was opened; nil for
+	// never.
+	Connected func(address string)
+}
+
+// A Dialer opens TCP connections.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 func (c Config) withDefaults() Config {
@@ -63,6 +72,9 @@
 	c.MaxConns = intOr(c.MaxConns, defaultMaxConns)
 	c.MaxAnswerBytes = intOr(c.MaxAnswerBytes, defaultMaxAnswerBytes)
 	c.MaxStreamBytes = intOr(c.MaxStreamBytes, defaultMaxStreamBytes)
+	if c.Dialer == nil {
+		c.Dialer = &net.Dialer{Timeout: c.DialTimeout, KeepAliveConfig: keepAlive}
+	}
 	return c
 }
 
@@ -173,10 +185,12 @@
 }
 
 func (s *Sender) dialContext(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: s.cfg.DialTimeout, KeepAliveConfig: keepAlive}
-	c, err := dialer.DialContext(ctx, "tcp", address)
+	c, err := s.cfg.Dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
+	if s.cfg.Connected != nil {
+		s.cfg.Connected(address)
+	}
 	return &conn{TCPConn: c.(*net.TCPConn)}, nil
 }
