fix: attempts go through a peer while an instance is cut off from the servers

Callers saw: at an instance that had lost its way to all servers they were refused, after up to half a second, as long as it lasted; a fifth or less of the requests were served that the others served in full.

Cause: an instance has only its own connections to servers, and what peers reach is known nowhere.

Change: internal/tunneler sends an attempt through a peer, over the links, when the placement says so: the instance is cut off from the service and a peer reports that it is not. The instance that has the request keeps all decisions: quotas, the choice of the server, its limit, the number of attempts, what may be repeated and where a stream goes on. The peer makes the one attempt at the named server and sends answer and events back as they come; it never passes it on again, and takes none while it is cut off itself or leaves. A peer that certainly did not make the attempt is replaced by another one; if that is in doubt, the attempt counts as sent. Failures of the peer say nothing about the server. When the caller leaves, the stream of the link is reset and the peer closes its connection. Items of batch jobs go the same way. The links carry answers in several messages for it.

--- a/internal/balancer/reach.go
+++ b/internal/balancer/reach.go
@@ -28,7 +28,8 @@
 	AgeMs   int64 // Time since a server was last reached; negative if none ever was.
 }
 
-// Peers knows which peers reach the servers of a service.
+// Peers knows which peers reach the servers of a service. *tunneler.Tunneler implements
+// it.
 type Peers interface {
 	// TakesWork reports whether a peer may pass work to the servers of a service on.
 	TakesWork(service string) bool
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -81,6 +81,7 @@
 	FirstByteTimeout time.Duration // Maximum wait for the first byte of the answer.
 	LastEventID      string        // ID of the last event received; the stream resumes after it.
 	Batch            bool          // The request is an item of a batch job.
+	ThroughPeer      bool          // A peer has to make the attempt, because this instance is cut off from the server.
 }
 
 // An Event is one event of a stream.
--- a/internal/forwarder/report.go
+++ b/internal/forwarder/report.go
@@ -20,6 +20,7 @@
 		reporter.FieldBackendServer: r.serverID,
 		"server-version":            r.serverVersion,
 		"server-load":               r.serverLoad,
+		"through-peer":              r.throughPeer,
 		"attempts":                  r.attempts,
 		"refused-tries":             r.refusedAttempts,
 		"first-byte-ms":             r.firstByte.Milliseconds(),
--- a/internal/forwarder/run.go
+++ b/internal/forwarder/run.go
@@ -65,6 +65,7 @@
 	serverID        string               // ID of the last server.
 	serverVersion   string               // Version of the last server.
 	serverLoad      int                  // Load of the last server before this request.
+	throughPeer     bool                 // A peer makes the last attempt.
 	version         *string              // Version of the server that wrote the first event; nil before that.
 	id              string               // Unique at this instance.
 	digest          string               // Digest of the request's content.
@@ -222,6 +223,7 @@
 	}
 	r.placement = placement
 	r.serverID, r.serverVersion, r.serverLoad = placement.Backend.ID, placement.Backend.Version, placement.Load
+	r.throughPeer = placement.ThroughPeer
 	r.serverEvents = 0
 	return nil
 }
@@ -266,6 +268,7 @@
 		Remaining:        r.remaining(),
 		FirstByteTimeout: r.firstByteTimeout(),
 		LastEventID:      r.lastEventID,
+		ThroughPeer:      placement.ThroughPeer,
 	})
 }
 
@@ -322,7 +325,7 @@
 
 func outcomeOf(f *sender.Failure) balancer.Outcome {
 	switch f.Cause {
-	case sender.CauseCancelled:
+	case sender.CauseCancelled, sender.CausePeer:
 		return balancer.OutcomeCancelled
 	case sender.CauseDial:
 		return balancer.OutcomeUnreachable
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -69,6 +69,8 @@
 	// Leavers are the backend servers that say that they are shutting down, as the
 	// instance knows.
 	Leavers []throttler.Server `cbor:"leavers,omitempty"`
+	// Reaches says for each service whether the instance reaches its servers.
+	Reaches []balancer.Reach `cbor:"reaches,omitempty"`
 	// Connected reports whether the instance reads its copies from the store itself.
 	Connected bool `cbor:"connected"`
 
@@ -125,6 +127,11 @@
 	ApplyReports(peer, incarnation string, reports []throttler.Report)
 }
 
+// PeerReaches tracks which services the peers reach. *tunneler.Tunneler implements it.
+type PeerReaches interface {
+	ApplyReaches(peer string, reaches []balancer.Reach)
+}
+
 // Config holds the dependencies of a gossiper.
 type Config struct {
 	Self      enroller.Member
@@ -136,6 +143,7 @@
 	JobOwners JobOwners
 	Suspects  Suspects
 	Limits    Limits
+	Reaches   PeerReaches
 	Clock     storer.Clock
 	Logger    logrus.FieldLogger
 }
@@ -296,7 +304,7 @@
 	sequence := g.sequence
 	cellName := g.cell.Name
 	g.mu.Unlock()
-	r := Report{Incarnation: g.cfg.Self.Incarnation, CellName: cellName, Sequence: sequence, Loads: g.cfg.Balancer.LocalLoads(), Usages: g.cfg.Quotas.Report(), Versions: map[string]int64{}, Changes: map[string]int64{}, Jobs: g.cfg.JobOwners.NewlyOwnedJobs(), Waiting: g.cfg.JobOwners.WaitingTokens(), Suspects: g.cfg.Suspects.Report(), Limits: g.cfg.Limits.Report(), Leavers: g.cfg.Balancer.Leavers()}
+	r := Report{Incarnation: g.cfg.Self.Incarnation, CellName: cellName, Sequence: sequence, Loads: g.cfg.Balancer.LocalLoads(), Usages: g.cfg.Quotas.Report(), Versions: map[string]int64{}, Changes: map[string]int64{}, Jobs: g.cfg.JobOwners.NewlyOwnedJobs(), Waiting: g.cfg.JobOwners.WaitingTokens(), Suspects: g.cfg.Suspects.Report(), Limits: g.cfg.Limits.Report(), Leavers: g.cfg.Balancer.Leavers(), Reaches: g.cfg.Balancer.Reaches()}
 	r.Connected = true
 	for name, source := range g.cfg.Sources {
 		r.Versions[name] = source.Version()
@@ -370,6 +378,7 @@
 	g.cfg.Suspects.ApplyReports(r.Suspects)
 	g.cfg.Limits.ApplyReports(id, r.Incarnation, r.Limits)
 	g.cfg.Balancer.RecordLeaving(r.Leavers...)
+	g.cfg.Reaches.ApplyReaches(id, r.Reaches)
 	if r.Waiting != nil { // Earlier builds report none.
 		g.cfg.JobOwners.RecordWaiting(id, r.Waiting)
 	}
--- a/internal/jobkeeper/task.go
+++ b/internal/jobkeeper/task.go
@@ -263,6 +263,7 @@
 		FirstByteTimeout: itemFirstByteTimeout,
 		LastEventID:      t.after,
 		Batch:            true,
+		ThroughPeer:      placement.ThroughPeer,
 	})
 	if err != nil {
 		return k.afterError(t, placement.Backend.ID, err)
@@ -305,6 +306,9 @@
 	switch failure.Cause {
 	case sender.CauseCancelled:
 		return o, balancer.OutcomeCancelled
+	case sender.CausePeer:
+		o.retryDelay = itemRetryDelay
+		return o, balancer.OutcomeCancelled
 	case sender.CauseDial:
 		return o, balancer.OutcomeUnreachable
 	case sender.CauseNoFreeConnection:
--- a/internal/linker/codec.go
+++ b/internal/linker/codec.go
@@ -43,27 +43,45 @@
 // readFrame reads the single frame that each side of a stream sends. The length
 // is checked before the body is allocated. The size n includes the header.
 func readFrame(r io.Reader) (e Envelope, n int, err error) {
-	var header [frameHeaderBytes]byte
-	if _, err := io.ReadFull(r, header[:]); err != nil {
+	body, err := readPart(r)
+	if err != nil {
 		return Envelope{}, 0, err
 	}
-	size := binary.BigEndian.Uint32(header[:])
-	if size > MaxMessageBytes {
-		return Envelope{}, 0, merry.Prependf(ErrTooLarge, "frame of %d bytes", size)
+	var extra [1]byte
+	if n, err := r.Read(extra[:]); n > 0 || err != io.EOF {
+		return Envelope{}, 0, merry.Errorf("expected end of stream after the frame: %v", err)
 	}
-	var body bytes.Buffer
-	body.Grow(min(int(size), initialFrameBytes))
-	if _, err := io.CopyN(&body, r, int64(size)); err != nil {
+	return decodeEnvelope(body)
+}
+
+// readEnvelope reads the first frame of an answer in parts.
+func readEnvelope(r io.Reader) (e Envelope, n int, err error) {
+	body, err := readPart(r)
+	if err != nil {
 		return Envelope{}, 0, err
 	}
-	if extra, err := r.Read(header[:]); extra > 0 || err != io.EOF {
-		return Envelope{}, 0, merry.Errorf("expected end of stream after the frame: %v", err)
-	}
-	if err := cbor.Unmarshal(body.Bytes(), &e); err != nil {
+	return decodeEnvelope(body)
+}
+
+func decodeEnvelope(body []byte) (e Envelope, n int, err error) {
+	if err := cbor.Unmarshal(body, &e); err != nil {
 		return Envelope{}, 0, err
 	}
 	if e.Version != ProtocolVersion {
 		return e, 0, merry.Errorf("unsupported envelope version %d", e.Version)
 	}
-	return e, frameHeaderBytes + int(size), nil
+	return e, frameHeaderBytes + len(body), nil
+}
+
+// readSized reads a body whose length prefix was read.
+func readSized(r io.Reader, size uint32) ([]byte, error) {
+	if size > MaxMessageBytes {
+		return nil, merry.Prependf(ErrTooLarge, "frame of %d bytes", size)
+	}
+	var body bytes.Buffer
+	body.Grow(min(int(size), initialFrameBytes))
+	if _, err := io.CopyN(&body, r, int64(size)); err != nil {
+		return nil, err
+	}
+	return body.Bytes(), nil
 }
--- a/internal/linker/endpoint.go
+++ b/internal/linker/endpoint.go
@@ -40,7 +40,7 @@
 
 // Limits of a connection.
 const (
-	maxStreams           = 256 // Calls in flight from one peer.
+	maxStreams           = 512 // Calls in flight from one peer.
 	maxStreamWindow      = MaxMessageBytes + 64<<10
 	maxConnectionWindow  = 2 * maxStreamWindow
 	initialReceiveWindow = 64 << 10 // Small, as most messages are below 1 KiB and there may be 350 peers.
@@ -69,7 +69,10 @@
 	serverTLS   *tls.Config
 	transport   *quic.Transport
 	handlers    map[Kind]Handler // Not changed after Start.
-	nextID      atomic.Uint64
+	// streamHandlers are those of kinds that are answered in parts; not changed after
+	// Start.
+	streamHandlers map[Kind]StreamHandler
+	nextID         atomic.Uint64
 
 	// ctx is cancelled when the Linker stops, which ends all connections and
 	// dials.
@@ -113,9 +116,11 @@
 		serverTLS:   serverTLS(cfg.TLS),
 		transport:   &quic.Transport{Conn: socket},
 		handlers:    make(map[Kind]Handler),
-		ctx:         ctx,
-		stop:        stop,
-		links:       make(map[string]*link),
+
+		streamHandlers: make(map[Kind]StreamHandler),
+		ctx:            ctx,
+		stop:           stop,
+		links:          make(map[string]*link),
 	}, nil
 }
 
--- a/internal/linker/instruments.go
+++ b/internal/linker/instruments.go
@@ -56,5 +56,8 @@
 	if _, ok := l.handlers[kind]; ok {
 		return kind
 	}
+	if _, ok := l.streamHandlers[kind]; ok {
+		return kind
+	}
 	return unknownKind
 }
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -40,6 +40,7 @@
 
 // Kinds of messages between entry instances.
 const (
+	KindAttempt         Kind = "attempt"
 	KindBorrow          Kind = "borrow"
 	KindCopy            Kind = "copy"
 	KindHandOver        Kind = "hand-over"
--- a/internal/linker/linker_test.go
+++ b/internal/linker/linker_test.go
@@ -56,8 +56,9 @@
 // A testInstance is one instance's Linker with its handler.
 type testInstance struct {
 	*Linker
-	echo *echoHandler
-	stop func()
+	echo    *echoHandler
+	counter *countingHandler
+	stop    func()
 }
 
 func newAuthority(t *testing.T) *Authority {
@@ -88,8 +89,9 @@
 		Logger:        logger,
 	})
 	assert.NilError(t, err)
-	e := &testInstance{Linker: l, echo: &echoHandler{release: make(chan struct{})}}
+	e := &testInstance{Linker: l, echo: &echoHandler{release: make(chan struct{})}, counter: &countingHandler{ended: make(chan error, 1)}}
 	l.Handle(KindYield, e.echo)
+	l.HandleStream(KindAttempt, e.counter)
 	ctx, cancel := context.WithCancel(context.Background())
 	end := l.Start(ctx)
 	e.stop = sync.OnceFunc(func() {
--- a/internal/linker/server.go
+++ b/internal/linker/server.go
@@ -99,18 +99,32 @@
 
 // respond calls the handler and writes its answer.
 func (s *inboundExchange) respond(request Envelope) {
+	if handler, ok := s.linker.streamHandlers[request.Kind]; ok {
+		s.respondInParts(request, handler)
+		return
+	}
+	payload, err := s.handle(request)
+	s.writeAnswer(s.answer(request, payload, err))
+}
+
+// answer returns the envelope of an answer.
+func (s *inboundExchange) answer(request Envelope, payload []byte, err error) Envelope {
 	answer := Envelope{
 		Version: ProtocolVersion,
 		Kind:    request.Kind,
 		ID:      request.ID,
 		Sender:  s.linker.cfg.InstanceID,
 	}
-	payload, err := s.handle(request)
 	if err != nil {
 		answer.Error = err.Error()
 	} else {
 		answer.Payload = payload
 	}
+	return answer
+}
+
+// writeAnswer writes an answer that is complete.
+func (s *inboundExchange) writeAnswer(answer Envelope) {
 	frame, err := encodeFrame(answer)
 	if err != nil {
 		answer.Payload = nil
@@ -126,7 +140,7 @@
 		s.stream.CancelWrite(codeCancelled)
 		return
 	}
-	s.linker.instruments.count(sent, s.linker.metricKind(request.Kind), len(frame))
+	s.linker.instruments.count(sent, s.linker.metricKind(answer.Kind), len(frame))
 	_ = s.stream.Close()
 }
 
