--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -50,6 +50,10 @@
 func (noLimits) Report() []throttler.Report                      { return nil }
 func (noLimits) ApplyReports(string, string, []throttler.Report) {}
 
+type noReaches struct{}
+
+func (noReaches) ApplyReaches(string, []balancer.Reach) {}
+
 // A fakeSource records the version that it was told to observe.
 type fakeSource struct{ observed int64 }
 
@@ -78,7 +82,7 @@
 	r.quotas.SetMembers([]string{"b"})
 	r.g = New(Config{
 		Self: enroller.Member{ID: "a", Incarnation: "a1"}, Links: noLinks{}, Balancer: r.balancer, Quotas: r.quotas,
-		OnReport: func(string) {}, JobOwners: noOwners{}, Suspects: noSuspects{}, Limits: noLimits{}, Clock: clock, Logger: logger,
+		OnReport: func(string) {}, JobOwners: noOwners{}, Suspects: noSuspects{}, Limits: noLimits{}, Reaches: noReaches{}, Clock: clock, Logger: logger,
 		Sources: map[string]Source{"members": r.source},
 	})
 	r.g.SetPeers([]enroller.Member{{ID: "b"}})
