--- a/internal/gossiper/aggregation_test.go
+++ b/internal/gossiper/aggregation_test.go
@@ -68,7 +68,7 @@
 		n.quotas.Install([]apportioner.Contract{{Workspace: workspace, Rate: 1, Burst: 10_000}})
 		n.balancer.Install([]balancer.Backend{{ID: "s1", Service: service, Slots: 4}})
 		n.g = New(Config{
-			Self: m, Links: n, Balancer: n.balancer, Quotas: n.quotas, OnReport: func(string) {}, JobOwners: noOwners{}, Suspects: noSuspects{}, Limits: noLimits{}, Clock: f.clock, Logger: logger,
+			Self: m, Links: n, Balancer: n.balancer, Quotas: n.quotas, OnReport: func(string) {}, JobOwners: noOwners{}, Suspects: noSuspects{}, Limits: noLimits{}, Reaches: noReaches{}, Clock: f.clock, Logger: logger,
 		})
 		var peers []enroller.Member
 		var ids []string
