fix: an instance that is out of step does not conclude from its list how a stream began

Asked by the users: an instance that had stood still or was cut off while servers of a new version joined took up streams of that version and went on at another one. It could happen here: an instance whose list held one version took every stream that it did not know for one of that version. It was only held back while its watch was known to have failed and no peer was heard, which is not so after a pause: the watch still looks pending, and the monotonic clock does not count a suspension.

Change: before it concludes, it has the store confirm its list (one call for all within 0.1 s). While the store is out of reach, a peer must have reported within a second, also by the time of day, without knowing a later change. Otherwise it asks the peers that were told of the stream, and refuses if none knows it.

The case 'an instance whose list lacks the second version' of TestSeveralVersions fails if the conclusion is drawn before the list is confirmed (the stream goes on at v1).

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -33,6 +33,8 @@
 	// peer, and leaves time to list the keys within the two seconds in which changes
 	// must arrive.
 	staleTimeout = 800 * time.Millisecond
+	// confirmLifetime is how long a confirmation by Confirm serves further callers.
+	confirmLifetime = 100 * time.Millisecond
 )
 
 // errStale means that a watch was cancelled because a peer knew of later changes.
@@ -95,6 +97,7 @@
 	connected     bool
 	confirmedAt   time.Time // When the store last answered a listing or a watch, or a peer sent a snapshot; zero before.
 	watchSentAt   time.Time // When the last watch was sent.
+	listedAt      time.Time // When Confirm last asked the store.
 	outage        bool      // A call failed and the store has not been listed since.
 	reconnectedAt time.Time // End of the last outage; zero during an outage and before the first.
 	// awaited is the version of a change that a peer knows of and that has not
@@ -240,6 +243,38 @@
 	}
 }
 
+// Confirm lists the keys, unless it did so within confirmLifetime, and applies changes
+// that have not arrived. After a nil error the copy has all changes that the store had
+// accepted confirmLifetime before the call.
+func (f *Follower) Confirm(ctx context.Context) (err error) {
+	defer func() { err = merry.Prependf(err, "confirm copy of %q", f.cfg.Prefix) }()
+	asked := f.cfg.Clock.Now()
+	f.mu.Lock()
+	recent := isRecent(f.listedAt, asked, confirmLifetime)
+	f.mu.Unlock()
+	if recent {
+		return nil
+	}
+	listing, err := f.cfg.Store.List(ctx, f.cfg.Prefix)
+	if err != nil {
+		return err
+	}
+	if f.isMissing(listing) {
+		f.replace(listing)
+	}
+	f.mu.Lock()
+	f.listedAt = asked
+	f.mu.Unlock()
+	return nil
+}
+
+// isRecent reports whether less than d has passed since at, by the monotonic clock and
+// by the time of day: the monotonic clock does not count the time in which the machine
+// was suspended.
+func isRecent(at, now time.Time, d time.Duration) bool {
+	return !at.IsZero() && now.Sub(at) < d && now.Round(0).Sub(at.Round(0)).Abs() < d
+}
+
 // untilCheck returns the time until the next turn of this instance. The turns begin
 // when the watch is sent, which is after the same change at all instances.
 func (f *Follower) untilCheck() time.Duration {
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -397,3 +397,47 @@
 		assert.Assert(t, lists >= 3 && lists <= 4, "%d listings", lists)
 	})
 }
+
+// TestConfirm guards against decisions on a copy that lacks changes.
+func TestConfirm(t *testing.T) {
+	clock := clockwork.NewRealClock()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	r := &followerTest{store: storeemulator.New(clock)}
+	r.put(t, "k/a")
+	hanging := &hangingWatchStore{Store: r.store}
+	hanging.watchesHang.Store(true)
+	r.follower = New(Config{Name: "test", Prefix: "k/", Store: hanging, Clock: clock, Logger: logger, OnChange: func(Snapshot) {}})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := r.follower.Start(ctx)
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-ended)
+	})
+	awaitKeys(t, r.follower, 1)
+	r.put(t, "k/b")
+	assert.NilError(t, r.follower.Confirm(t.Context()))
+	assert.Equal(t, len(r.follower.Snapshot().Entries), 2)
+	t.Run("callers in quick succession cost one call", func(t *testing.T) {
+		calls := r.store.Calls("list")
+		assert.NilError(t, r.follower.Confirm(t.Context()))
+		assert.Equal(t, r.store.Calls("list"), calls)
+	})
+	t.Run("the store is out of reach", func(t *testing.T) {
+		time.Sleep(confirmLifetime)
+		r.setDown(true)
+		assert.ErrorIs(t, r.follower.Confirm(t.Context()), storer.ErrUnavailable)
+	})
+}
+
+// TestIsRecent guards against knowledge from before a suspension of the machine that
+// counts as fresh.
+func TestIsRecent(t *testing.T) {
+	now := time.Now()
+	assert.Assert(t, isRecent(now, now.Add(50*time.Millisecond), time.Second))
+	assert.Assert(t, !isRecent(now, now.Add(time.Second), time.Second))
+	assert.Assert(t, !isRecent(time.Time{}, now, time.Second))
+	suspended := now.Round(0).Add(5 * time.Second)
+	assert.Assert(t, !isRecent(now.Round(0), suspended, time.Second))
+	assert.Assert(t, !isRecent(suspended, now.Round(0), time.Second))
+}
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -169,7 +169,8 @@
 	loadCounted  bool // The balancer counts its load.
 	reachable    bool // The last exchange succeeded.
 
-	connected bool // The peer reaches the store.
+	connected bool             // The peer reaches the store.
+	changes   map[string]int64 // Version of the last change in each of its copies.
 
 	reportedAt time.Time // Time of the last exchange made by ReportTo.
 
@@ -359,7 +360,7 @@
 	p.incarnation, p.sequence = r.Incarnation, r.Sequence
 	recovered := !p.reachable
 	p.lastReportAt, p.loadCounted, p.reachable = g.cfg.Clock.Now(), true, true
-	p.connected = r.Connected
+	p.connected, p.changes = r.Connected, r.Changes
 	p.cell = r.CellName
 	p.updateSummary(r)
 	g.mu.Unlock()
@@ -443,6 +444,26 @@
 	return len(g.peers) > 0
 }
 
+// InStep reports whether the copy with a name has all changes that peers knew of within
+// peerTimeout, and a peer has reported since then. Time in which this machine was
+// suspended counts, by the time of day.
+func (g *Gossiper) InStep(name string) bool {
+	now, changedAt := g.cfg.Clock.Now(), g.cfg.Sources[name].ChangedAt()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	heard := false
+	for _, p := range g.peers {
+		if now.Sub(p.lastReportAt) >= peerTimeout || now.Round(0).Sub(p.lastReportAt.Round(0)).Abs() >= peerTimeout {
+			continue
+		}
+		if p.changes[name] > changedAt {
+			return false
+		}
+		heard = true
+	}
+	return heard
+}
+
 func (g *Gossiper) handleReport(_ context.Context, sender string, payload []byte) ([]byte, error) {
 	var r Report
 	if err := linker.Unmarshal(payload, &r); err != nil {
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -162,3 +162,20 @@
 	clock.Advance(fallbackCallDelay)
 	assert.Assert(t, p.claimFallbackCall(clock.Now()))
 }
+
+// TestInStep guards against decisions on copies that lack changes which peers know, or
+// that nobody has confirmed since this machine was suspended.
+func TestInStep(t *testing.T) {
+	hear := func(r *fixture, sequence uint64, changedAt int64) {
+		r.g.applyReport("b", Report{Incarnation: "b1", Sequence: sequence, Changes: map[string]int64{"members": changedAt}})
+	}
+	r := newFixture()
+	assert.Assert(t, !r.g.InStep("members"), "no peer was heard")
+	hear(r, 1, 1)
+	assert.Assert(t, r.g.InStep("members"))
+	hear(r, 2, 2)
+	assert.Assert(t, !r.g.InStep("members"), "a peer knows of a later change")
+	hear(r, 3, 1)
+	r.clock.Advance(peerTimeout)
+	assert.Assert(t, !r.g.InStep("members"), "the last report is too old")
+}
--- a/internal/resumer/resumer.go
+++ b/internal/resumer/resumer.go
@@ -77,11 +77,10 @@
 	Prefix   string // Prefix of the keys of versions that have served within originRetention.
 	Links    Links
 	Store    Store
-	// Isolated reports whether this instance reaches neither the store nor a peer, so
-	// that its list of servers may be out of date.
-	Isolated func() bool
-	Clock    storer.Clock
-	Logger   logrus.FieldLogger
+	// Current brings the list of servers up to date, and reports whether it is.
+	Current func(ctx context.Context) bool
+	Clock   storer.Clock
+	Logger  logrus.FieldLogger
 }
 
 // A Resumer finds the origin of streams.
@@ -177,7 +176,7 @@
 			return origin, true
 		}
 	}
-	if !r.cfg.Isolated() {
+	if _, only := r.history.only(services, r.now()); only && r.cfg.Current(ctx) {
 		if origin, known = r.history.only(services, r.now()); known {
 			return origin, true
 		}
--- a/internal/resumer/resumer_test.go
+++ b/internal/resumer/resumer_test.go
@@ -40,7 +40,8 @@
 	id       string
 	handler  linker.Handler
 	stop     func()
-	isolated bool
+	isolated bool     // The list of servers cannot be brought up to date.
+	unlisted []Origin // Those that the list lacks until it is brought up to date.
 }
 
 func newFleet(t *testing.T, n int) *fleet {
@@ -71,7 +72,7 @@
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	i := &instance{fleet: f, id: id}
-	i.Resumer = New(Config{Instance: id, Prefix: "version/", Links: i, Store: f.store, Isolated: func() bool { return i.isolated }, Clock: f.clock, Logger: logger})
+	i.Resumer = New(Config{Instance: id, Prefix: "version/", Links: i, Store: f.store, Current: i.updateOrigins, Clock: f.clock, Logger: logger})
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := i.Start(ctx)
 	i.stop = sync.OnceFunc(func() {
@@ -152,6 +153,15 @@
 	}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
 }
 
+// updateOrigins brings the list of servers up to date.
+func (i *instance) updateOrigins(context.Context) bool {
+	if i.unlisted != nil {
+		i.SetOrigins(i.unlisted)
+		i.unlisted = nil
+	}
+	return !i.isolated
+}
+
 func assertOrigin(t *testing.T, i *instance, id string, want Origin) {
 	t.Helper()
 	got, known := i.Find(t.Context(), id, []string{service})
@@ -245,6 +255,18 @@
 		f.clock.Advance(originRetention)
 		assertOrigin(t, f.instances["i2"], "other", v2)
 	})
+	t.Run("an instance whose list lacks the second version", func(t *testing.T) {
+		f := newFleet(t, 4)
+		f.setOrigins(v1)
+		for n := range 3 {
+			f.instances[fmt.Sprint("i", n)].SetOrigins([]Origin{v1, v2})
+		}
+		f.instances["i0"].RecordBeginning(Stream{ID: "q0", Origin: v2}, []string{service})
+		f.settle()
+		f.instances["i3"].unlisted = []Origin{v1, v2}
+		assertOrigin(t, f.instances["i3"], "q0", v2)
+		assertUnknown(t, f.instances["i3"], "other")
+	})
 	t.Run("an instance that is cut off", func(t *testing.T) {
 		f := newFleet(t, 4)
 		f.setOrigins(v1)
