test: an answer whose head is broken off is no answer

Asked by the users: a server stopped in the middle of its answer's head, and callers got a 200 with an empty or short body. It cannot happen here: at each of the places where a head can end the attempt fails, for answers with a length, chunks or neither, and for streams.

--- a/internal/sender/unframed_test.go
+++ b/internal/sender/unframed_test.go
@@ -1,6 +1,9 @@
 package sender
 
 import (
+	"errors"
+	"strconv"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -36,3 +39,27 @@
 	t.Run("a stream that ends before its first event", func(t *testing.T) { assertCut(t, head) })
 	t.Run("a stream that ends after a comment", func(t *testing.T) { assertCut(t, head+": wait\n\n") })
 }
+
+// TestHeadBrokenOff guards against an answer whose head the server broke off and that
+// counts as whole, with an empty or short body.
+func TestHeadBrokenOff(t *testing.T) {
+	heads := map[string]string{
+		"a length":                         "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 12\r\nX-Last: 1\r\n\r\n",
+		"chunks":                           "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nTransfer-Encoding: chunked\r\nX-Last: 1\r\n\r\n",
+		"no length":                        "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nX-Last: 1\r\n\r\n",
+		"events":                           "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Last: 1\r\n\r\n",
+		"a line feed as the end of a line": "HTTP/1.1 200 OK\nContent-Length: 12\nX-Last: 1\n\n",
+	}
+	for name, head := range heads {
+		t.Run(name, func(t *testing.T) {
+			for n := range len(head) - 1 {
+				r := get(startScripted(t, head[:n]))
+				r.AllowUnframed = true
+				text, err := readAll(t, New(Config{}), r)
+				var failure *Failure
+				assert.Assert(t, errors.As(err, &failure), "after "+strconv.Quote(head[:n])+": "+strconv.Quote(text))
+				assert.Assert(t, failure.Dispatched && failure.Cause != CauseTimeout, "%s: %v", strings.TrimSpace(head[:n]), err)
+			}
+		})
+	}
+}
