--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -433,3 +433,33 @@
 	t.begun = true
 	return first
 }
+
+// TestPeerFails guards against streams that end, and sound servers that are avoided,
+// because the peer that passed an attempt on failed.
+func TestPeerFails(t *testing.T) {
+	lost := &sender.Failure{Cause: sender.CausePeer, Dispatched: true, Err: io.ErrUnexpectedEOF}
+	t.Run("a stream that may be resumed goes on", func(t *testing.T) {
+		f := newFixture(streamEvents(lost, "1", "2"), streamEvents(io.EOF, "3"))
+		assertEvents(t, f, resumableRoute, "123", true)
+		assert.Equal(t, f.client.attempts[1].LastEventID, "2")
+	})
+	t.Run("a request in doubt is not repeated", func(t *testing.T) {
+		f := newFixture(failWith(sender.CausePeer, true))
+		_, refusal := f.forward(nonIdempotentRoute)
+		assert.Equal(t, refusal.Outcome, refuser.Unknown)
+		assert.Equal(t, len(f.client.attempts), 1)
+	})
+	t.Run("a request that no peer takes has not run", func(t *testing.T) {
+		f := newFixture(failWith(sender.CausePeer, false))
+		_, refusal := f.forward(nonIdempotentRoute)
+		assert.Equal(t, refusal.Outcome, refuser.NotRun)
+	})
+	t.Run("the server is not blamed", func(t *testing.T) {
+		f := newVersionFixture([]string{""}, failWith(sender.CausePeer, true), answerWith(AnswerSucceeded, 200))
+		_, refusal := f.forward(routefinder.Route{Kind: routefinder.KindIdempotent, MaxAttempts: 1})
+		assert.Assert(t, refusal != nil)
+		p, err := f.balancer.Acquire(balancer.Query{Service: "s", Class: balancer.Batch})
+		assert.NilError(t, err) // Batch work is not placed on suspected servers.
+		p.Release(balancer.OutcomeDone)
+	})
+}
