fix: the end of a cut is found when the servers were replaced meanwhile

While an instance is cut off only servers were probed that it had found unreachable. If these were replaced during the cut, nothing was probed any more, and since all work went through peers no connection was opened: the instance used its peers until it was restarted. Any server is probed now while it is cut off. Found by reading; the new case of TestCutOff failed before.

--- a/internal/balancer/prober.go
+++ b/internal/balancer/prober.go
@@ -79,7 +79,8 @@
 }
 
 // appendDueProbes appends the servers that are due, those that have waited longest first
-// and only a few of them at a time.
+// and only a few of them at a time. While the instance is cut off, any server may show
+// that the cut has ended.
 func (p *pool) appendDueProbes(due []dueProbe, now time.Time) []dueProbe {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -93,7 +94,7 @@
 	}
 	var waiting []*server
 	for _, s := range p.order {
-		if s.health.probeDue(now) {
+		if s.health.probeDue(now) || p.reach.cutOff && !s.health.probing {
 			waiting = append(waiting, s)
 		}
 	}
--- a/internal/balancer/reach_test.go
+++ b/internal/balancer/reach_test.go
@@ -86,6 +86,17 @@
 		f.runDueProbes()
 		assertCutOff(t, f, false)
 	})
+	t.Run("the servers are replaced during the cut", func(t *testing.T) {
+		f := newReachFixture(3, &fakePeers{takeWork: true})
+		f.failOne(t)
+		f.runDueProbes()
+		assertCutOff(t, f, true)
+		f.b.Install([]Backend{{ID: "new", Service: service, Address: "new:1", FailureDomain: "d1", Slots: 4}})
+		f.probeSucceeds = true
+		f.clock.Advance(probeRetryDelay)
+		f.runDueProbes()
+		assertCutOff(t, f, false)
+	})
 	t.Run("the end of the cut", func(t *testing.T) {
 		f := newReachFixture(600, &fakePeers{})
 		f.failOne(t)
