fix: an instance that leaves takes no attempts of peers from the start

It went on taking them until its own callers were served, so that the last ones could be cut off by the end of the process. It refuses them as soon as it leaves, and peers ask another instance.

--- a/internal/tunneler/handler.go
+++ b/internal/tunneler/handler.go
@@ -71,19 +71,23 @@
 func (t *Tunneler) beginServing() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.draining {
+	if t.leaving {
 		return false
 	}
 	t.serving.Add(1)
 	return true
 }
 
-// Drain takes no further attempts of peers, and waits for those under way until the
-// context ends.
-func (t *Tunneler) Drain(ctx context.Context) {
+// Leave takes no further attempts of peers.
+func (t *Tunneler) Leave() {
 	t.mu.Lock()
-	t.draining = true
-	t.mu.Unlock()
+	defer t.mu.Unlock()
+	t.leaving = true
+}
+
+// Drain waits for the attempts of peers that are under way, until the context ends. It
+// is called after Leave.
+func (t *Tunneler) Drain(ctx context.Context) {
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
--- a/internal/tunneler/tunneler.go
+++ b/internal/tunneler/tunneler.go
@@ -68,9 +68,9 @@
 	attempts metric.Int64Counter
 	peers    *peers
 
-	mu       sync.Mutex
-	draining bool
-	serving  sync.WaitGroup // Attempts of peers under way.
+	mu      sync.Mutex
+	leaving bool
+	serving sync.WaitGroup // Attempts of peers under way.
 }
 
 // New returns a tunneler and registers its message handler. It must be called before the
--- a/internal/tunneler/tunneler_test.go
+++ b/internal/tunneler/tunneler_test.go
@@ -234,6 +234,7 @@
 	})
 	t.Run("a peer that leaves", func(t *testing.T) {
 		f := newFleet(t, true, false)
+		f[1].Leave()
 		f[1].Drain(t.Context())
 		_, err := f.send(t.Context(), routefinder.KindIdempotent)
 		assertFailure(t, err, sender.CausePeer, false)
