--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -240,9 +240,16 @@
 				Warn("the watch has missed changes")
 			return &listing
 		}
+		f.markConfirmed()
 	}
 }
 
+func (f *Follower) markConfirmed() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.confirmedAt = f.cfg.Clock.Now()
+}
+
 // Confirm lists the keys, unless it did so within confirmLifetime, and applies changes
 // that have not arrived. After a nil error the copy has all changes that the store had
 // accepted confirmLifetime before the call.
@@ -262,6 +269,7 @@
 	if f.isMissing(listing) {
 		f.replace(listing)
 	}
+	f.markConfirmed()
 	f.mu.Lock()
 	f.listedAt = asked
 	f.mu.Unlock()
