--- a/internal/gossiper/aggregation_test.go
+++ b/internal/gossiper/aggregation_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,7 +22,7 @@
 type fleet struct {
 	clock     *clockwork.FakeClock
 	instances map[string]*fleetInstance
-	calls     int
+	calls     atomic.Int64
 }
 
 type fleetInstance struct {
@@ -40,7 +41,7 @@
 }
 
 func (n *fleetInstance) Call(ctx context.Context, peer string, _ linker.Kind, request, response any) error {
-	n.fleet.calls++
+	n.fleet.calls.Add(1)
 	payload, err := linker.Marshal(request)
 	if err != nil {
 		return err
@@ -102,9 +103,9 @@
 	for range 4 {
 		f.round(t.Context())
 	}
-	before := f.calls
+	before := f.calls.Load()
 	f.round(t.Context())
-	assert.Assert(t, f.calls-before < 800, "%d exchanges in a round; there are 3,160 pairs", f.calls-before)
+	assert.Assert(t, f.calls.Load()-before < 800, "%d exchanges in a round; there are 3,160 pairs", f.calls.Load()-before)
 	busy := f.instances["0-00"].quotas
 	full := busy.Admit(workspace).Level
 	admitted := 1
