--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -27,18 +27,37 @@
 // startFollower follows "k/" with a real clock.
 func startFollower(t *testing.T, removalGrace time.Duration, keys ...string) *followerTest {
 	t.Helper()
-	clock := clockwork.NewRealClock()
+	r := &followerTest{store: storeemulator.New(clockwork.NewRealClock())}
+	r.put(t, keys...)
+	r.start(t, r.store, func(cfg *Config) { cfg.RemovalGrace, cfg.UsePeerSnapshots = removalGrace, r.usePeer.Load })
+	return r
+}
+
+// start follows "k/" in a store until the test ends.
+func (r *followerTest) start(t *testing.T, store Store, configure func(cfg *Config)) {
+	t.Helper()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	r := &followerTest{store: storeemulator.New(clock)}
-	r.put(t, keys...)
-	r.follower = New(Config{Name: "test", Prefix: "k/", Store: r.store, Clock: clock, Logger: logger, RemovalGrace: removalGrace, UsePeerSnapshots: r.usePeer.Load, OnChange: func(Snapshot) {}})
+	cfg := Config{Name: "test", Prefix: "k/", Store: store, Clock: clockwork.NewRealClock(), Logger: logger, OnChange: func(Snapshot) {}}
+	configure(&cfg)
+	r.follower = New(cfg)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := r.follower.Start(ctx)
 	t.Cleanup(func() {
 		cancel()
 		assert.NilError(t, <-ended)
 	})
+}
+
+// startHanging follows a store whose watches hang, with the given keys.
+func startHanging(t *testing.T, configure func(cfg *Config), keys ...string) *followerTest {
+	t.Helper()
+	r := &followerTest{store: storeemulator.New(clockwork.NewRealClock())}
+	r.put(t, keys...)
+	hanging := &hangingWatchStore{Store: r.store}
+	hanging.watchesHang.Store(true)
+	r.start(t, hanging, configure)
+	awaitKeys(t, r.follower, len(keys))
 	return r
 }
 
@@ -198,20 +217,7 @@
 // withdrawn key kept working for half a minute.
 func TestHangingWatch(t *testing.T) {
 	clock := clockwork.NewRealClock()
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
-	r := &followerTest{store: storeemulator.New(clock)}
-	r.put(t, "k/a")
-	hanging := &hangingWatchStore{Store: r.store}
-	hanging.watchesHang.Store(true)
-	r.follower = New(Config{Name: "test", Prefix: "k/", Store: hanging, Clock: clock, Logger: logger, RemovalGrace: time.Minute, OnChange: func(Snapshot) {}})
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := r.follower.Start(ctx)
-	t.Cleanup(func() {
-		cancel()
-		assert.NilError(t, <-ended)
-	})
-	awaitKeys(t, r.follower, 1)
+	r := startHanging(t, func(cfg *Config) { cfg.RemovalGrace = time.Minute }, "k/a")
 	r.put(t, "k/b", "k/c")
 	r.remove(t, "k/a")
 	listing, err := r.store.List(t.Context(), "k/")
@@ -314,25 +320,18 @@
 // Guards against servers that left and keys that were withdrawn and are in use again,
 // when a listing arrives after a newer snapshot of a peer.
 func TestOutdatedListing(t *testing.T) {
-	clock := clockwork.NewRealClock()
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
-	r := &followerTest{store: storeemulator.New(clock)}
+	r := &followerTest{store: storeemulator.New(clockwork.NewRealClock())}
 	r.put(t, "k/left", "k/stays")
 	slow := &slowListStore{Store: r.store, held: make(chan struct{}), reading: make(chan struct{}, 1)}
 	var returned atomic.Bool
-	r.follower = New(Config{Name: "test", Prefix: "k/", Store: slow, Clock: clock, Logger: logger, OnChange: func(c Snapshot) {
-		for _, e := range c.Entries {
-			if e.Key == "k/left" {
-				returned.Store(true)
+	r.start(t, slow, func(cfg *Config) {
+		cfg.OnChange = func(c Snapshot) {
+			for _, e := range c.Entries {
+				if e.Key == "k/left" {
+					returned.Store(true)
+				}
 			}
 		}
-	}})
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := r.follower.Start(ctx)
-	t.Cleanup(func() {
-		cancel()
-		assert.NilError(t, <-ended)
 	})
 	<-slow.reading
 	r.remove(t, "k/left")
@@ -357,40 +356,25 @@
 // watches were lost in a silence of the store that no other call met.
 func TestMissedChanges(t *testing.T) {
 	const interval = 100 * time.Millisecond
-	clock := clockwork.NewRealClock()
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
-	start := func(t *testing.T, hang bool) *followerTest {
-		t.Helper()
-		r := &followerTest{store: storeemulator.New(clock)}
-		r.put(t, "k/a", "k/b")
-		hanging := &hangingWatchStore{Store: r.store}
-		hanging.watchesHang.Store(hang)
-		r.follower = New(Config{
-			Name: "test", Prefix: "k/", Store: hanging, Clock: clock, Logger: logger, OnChange: func(Snapshot) {},
-			CheckInterval: interval, Turn: func() Turn { return Turn{Index: 1, Count: 3} },
-		})
-		ctx, cancel := context.WithCancel(context.Background())
-		ended := r.follower.Start(ctx)
-		t.Cleanup(func() {
-			cancel()
-			assert.NilError(t, <-ended)
-		})
-		awaitKeys(t, r.follower, 2)
-		return r
+	inTurns := func(cfg *Config) {
+		cfg.CheckInterval = interval
+		cfg.Turn = func() Turn { return Turn{Index: 1, Count: 3} }
 	}
 	t.Run("a key was written", func(t *testing.T) {
-		r := start(t, true)
+		r := startHanging(t, inTurns, "k/a", "k/b")
 		r.put(t, "k/c")
 		awaitKeys(t, r.follower, 3)
 	})
 	t.Run("a key was removed", func(t *testing.T) {
-		r := start(t, true)
+		r := startHanging(t, inTurns, "k/a", "k/b")
 		r.remove(t, "k/a")
 		awaitKeys(t, r.follower, 1)
 	})
 	t.Run("without changes the watch goes on and checks come in turns", func(t *testing.T) {
-		r := start(t, false)
+		r := &followerTest{store: storeemulator.New(clockwork.NewRealClock())}
+		r.put(t, "k/a", "k/b")
+		r.start(t, r.store, inTurns)
+		awaitKeys(t, r.follower, 2)
 		time.Sleep(9 * interval) // The turns are at 2, 5 and 8 intervals.
 		assert.Equal(t, r.store.Calls("watch"), 1)
 		lists := r.store.Calls("list")
@@ -400,21 +384,7 @@
 
 // TestConfirm guards against decisions on a copy that lacks changes.
 func TestConfirm(t *testing.T) {
-	clock := clockwork.NewRealClock()
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
-	r := &followerTest{store: storeemulator.New(clock)}
-	r.put(t, "k/a")
-	hanging := &hangingWatchStore{Store: r.store}
-	hanging.watchesHang.Store(true)
-	r.follower = New(Config{Name: "test", Prefix: "k/", Store: hanging, Clock: clock, Logger: logger, OnChange: func(Snapshot) {}})
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := r.follower.Start(ctx)
-	t.Cleanup(func() {
-		cancel()
-		assert.NilError(t, <-ended)
-	})
-	awaitKeys(t, r.follower, 1)
+	r := startHanging(t, func(*Config) {}, "k/a")
 	r.put(t, "k/b")
 	assert.NilError(t, r.follower.Confirm(t.Context()))
 	assert.Equal(t, len(r.follower.Snapshot().Entries), 2)
