test: an item runs beside the unlucky one before that is placed again

An emulated engine closes its connections before the handler of the request that crashed it has ended, which still counts as running; so the test took that handler for the item beside it and went on too early. All checks stay.

--- a/internal/dispatcher/item_test.go
+++ b/internal/dispatcher/item_test.go
@@ -206,6 +206,7 @@
 		for _, e := range r.engines {
 			e.SetFault(engineemulator.Fault{})
 		}
+		waitFor(t, "the crashed requests to end", func() bool { return r.running() == 0 })
 		beside := r.startItem(item("marker:beside", 2000))
 		waitFor(t, "the other item to run", func() bool { return r.running() == 1 })
 		_, err := r.RunItem(context.Background(), item("marker:unlucky", 10))
