fix: an attempt whose handler at a peer panics is in doubt

Callers could have had a request that may not be repeated run twice: a panic at the peer was answered like a refusal, after which the attempt goes to another peer, although the server may have got it. The answer is broken off now, so that the attempt counts as made. Found by reading; the new case of TestParts failed before.

--- a/internal/linker/stream.go
+++ b/internal/linker/stream.go
@@ -15,8 +15,8 @@
 // for concurrent use.
 type StreamHandler interface {
 	// HandleStream answers a request. The context ends when the caller no longer waits.
-	// An error before the first message is sent to the caller; later the answer is
-	// broken off.
+	// An error before the first message means that nothing was done, and is sent to the
+	// caller; later, and after a panic, the answer is broken off.
 	HandleStream(ctx context.Context, sender string, payload []byte, w *PartWriter) error
 }
 
@@ -62,13 +62,12 @@
 	recovered := panics.Try(func() { err = handler.HandleStream(s.stream.Context(), s.sender, request.Payload, w) })
 	if recovered != nil {
 		s.linker.cfg.Logger.WithField("kind", request.Kind).Error(recovered.String())
-		err = merry.Errorf("handler of %q failed", request.Kind)
 	}
 	switch {
+	case recovered != nil, err != nil && w.begun:
+		s.stream.CancelWrite(codeCancelled)
 	case err == nil:
 		_ = s.stream.Close()
-	case w.begun:
-		s.stream.CancelWrite(codeCancelled)
 	default:
 		s.writeAnswer(s.answer(request, nil, err))
 	}
--- a/internal/linker/stream_test.go
+++ b/internal/linker/stream_test.go
@@ -13,6 +13,9 @@
 
 const partsTimeout = 2 * time.Second
 
+// panicRequest is the request whose handler panics.
+const panicRequest = -2
+
 // A countingHandler answers with the numbers from 0 up to the requested one. A negative
 // request fails at once, and 100 breaks off after three messages.
 type countingHandler struct {
@@ -24,7 +27,10 @@
 	if err := Unmarshal(payload, &n); err != nil {
 		return err
 	}
-	if n < 0 {
+	switch {
+	case n == panicRequest:
+		panic("asked to panic")
+	case n < 0:
 		return merry.New("asked to fail")
 	}
 	for i := range n {
@@ -87,6 +93,11 @@
 		_, _, err := open(t.Context(), t, a, "entry-b", -1)
 		assert.ErrorIs(t, err, ErrRemote)
 	})
+	t.Run("a handler that panics may have begun", func(t *testing.T) {
+		a, _ := newPair(t)
+		_, _, err := open(t.Context(), t, a, "entry-b", panicRequest)
+		assert.ErrorIs(t, err, ErrUnknownEffect)
+	})
 	t.Run("an unknown peer", func(t *testing.T) {
 		a, _ := newPair(t)
 		_, _, err := open(t.Context(), t, a, "entry-x", 3)
