fix: a request waits 0.3 s at most for a connection to the peer that is to take it

Callers of a cut-off instance waited up to a second, the timeout of the library's dial, while the first peer that was asked did not answer, and then another one took the request. The new case of TestParts failed before, after 1.0 s.

--- a/internal/linker/endpoint.go
+++ b/internal/linker/endpoint.go
@@ -29,6 +29,9 @@
 	keepAlivePeriod = 450 * time.Millisecond
 	// dialTimeout bounds a dial and its handshake.
 	dialTimeout = time.Second
+	// connectTimeout bounds the wait of a request that is answered in parts for a
+	// connection, since another peer may take it.
+	connectTimeout = 300 * time.Millisecond
 	// callTimeout bounds each call, and on the receiving side the time to read a
 	// request and to write its answer.
 	callTimeout = 10 * time.Second
--- a/internal/linker/stream.go
+++ b/internal/linker/stream.go
@@ -102,13 +102,13 @@
 	if !ok {
 		return nil, merry.Prepend(ErrUnreachable, "unknown peer")
 	}
-	openCtx, cancel := context.WithTimeout(ctx, timeout)
+	connectCtx, cancel := context.WithTimeout(ctx, min(timeout, connectTimeout))
 	defer cancel()
-	conn, err := k.connect(openCtx)
+	conn, err := k.connect(connectCtx)
 	if err != nil {
 		return nil, merry.Wrap(ErrUnreachable, merry.WithCause(err))
 	}
-	stream, err := conn.OpenStreamSync(openCtx)
+	stream, err := conn.OpenStreamSync(connectCtx)
 	if err != nil {
 		k.discardIfClosed(conn)
 		return nil, merry.Wrap(ErrUnreachable, merry.WithCause(err))
--- a/internal/linker/stream_test.go
+++ b/internal/linker/stream_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"testing"
 	"time"
 
@@ -98,6 +99,17 @@
 		_, _, err := open(t.Context(), t, a, "entry-b", panicRequest)
 		assert.ErrorIs(t, err, ErrUnknownEffect)
 	})
+	t.Run("a peer that does not answer a dial", func(t *testing.T) {
+		a, _ := newPair(t)
+		silent, err := net.ListenPacket("udp", loopback)
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = silent.Close() })
+		a.setPeer("entry-b", silent.LocalAddr().String())
+		start := time.Now()
+		_, _, err = open(t.Context(), t, a, "entry-b", 3)
+		assert.ErrorIs(t, err, ErrUnreachable)
+		assert.Assert(t, time.Since(start) < 2*connectTimeout, "after %v", time.Since(start))
+	})
 	t.Run("an unknown peer", func(t *testing.T) {
 		a, _ := newPair(t)
 		_, _, err := open(t.Context(), t, a, "entry-x", 3)
