fix: an attempt that another peer takes has the time that is left

A server was handed the whole time of an attempt although peers that did not take it had used some of it, so that it could work on past the caller's deadline. TestTimeLeft failed before: 5 s were left of 5 s after 609 ms.

--- a/internal/tunneler/tunneler.go
+++ b/internal/tunneler/tunneler.go
@@ -109,15 +109,20 @@
 	if !a.ThroughPeer {
 		return t.cfg.Direct.Send(ctx, a)
 	}
-	message := requestOf(a)
+	started := t.cfg.Clock.Now()
 	var tried []string
 	for range maxPeersPerAttempt {
-		id := t.peers.take(a.Request.Service, tried, t.cfg.Clock.Now())
+		now := t.cfg.Clock.Now()
+		left := timeLeft(a, now.Sub(started))
+		if left.Remaining <= 0 || left.FirstByteTimeout <= 0 {
+			break
+		}
+		id := t.peers.take(a.Request.Service, tried, now)
 		if id == "" {
 			break
 		}
 		tried = append(tried, id)
-		answer, err := t.sendThrough(ctx, id, message)
+		answer, err := t.sendThrough(ctx, id, requestOf(left))
 		if !isNotTaken(err) || ctx.Err() != nil {
 			return answer, err
 		}
@@ -127,6 +132,13 @@
 	return nil, &sender.Failure{Cause: sender.CausePeer, Err: merry.Errorf("none of %d peers takes the attempt", len(tried))}
 }
 
+// timeLeft returns an attempt with the time that is left of it.
+func timeLeft(a forwarder.Attempt, elapsed time.Duration) forwarder.Attempt {
+	a.Remaining -= elapsed
+	a.FirstByteTimeout -= elapsed
+	return a
+}
+
 // isNotTaken reports whether a peer has certainly not made an attempt.
 func isNotTaken(err error) bool {
 	var f *sender.Failure
--- a/internal/tunneler/tunneler_test.go
+++ b/internal/tunneler/tunneler_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"strconv"
 	"sync"
 	"testing"
@@ -22,7 +23,11 @@
 	"github.com/quetzalhitch/quetzalhitch/internal/sender"
 )
 
-const service = "model"
+const (
+	service = "model"
+	// testRemaining is the time that attempts have.
+	testRemaining = 5 * time.Second
+)
 
 // A fakeServers answers the attempts of one instance.
 type fakeServers struct {
@@ -160,7 +165,7 @@
 func (f fleet) send(ctx context.Context, kind routefinder.Kind) (*forwarder.Answer, error) {
 	return f[0].Send(ctx, forwarder.Attempt{
 		Request: &forwarder.Request{ID: "q", Service: service, Route: &routefinder.Route{Kind: kind}, Method: "POST", Target: "/x", Body: []byte("q")},
-		Backend: balancer.Backend{ID: "s1", Address: "10.0.0.1:1", StartedAt: 7}, Remaining: 5 * time.Second, FirstByteTimeout: time.Second, LastEventID: "4", ThroughPeer: true,
+		Backend: balancer.Backend{ID: "s1", Address: "10.0.0.1:1", StartedAt: 7}, Remaining: testRemaining, FirstByteTimeout: time.Second, LastEventID: "4", ThroughPeer: true,
 	})
 }
 
@@ -273,6 +278,37 @@
 	})
 }
 
+// TestTimeLeft guards against servers that are handed more time than is left, because
+// peers that did not take an attempt used some of it.
+func TestTimeLeft(t *testing.T) {
+	f := newFleet(t, true, false)
+	const asked = 200 * time.Millisecond
+	gone := []linker.Peer{{ID: "i1", Address: f[1].links.Address()}}
+	members := []enroller.Member{{ID: "i1", FailureDomain: "d1"}}
+	silent, err := net.ListenPacket("udp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = silent.Close() })
+	for _, id := range []string{"gone-1", "gone-2"} {
+		gone = append(gone, linker.Peer{ID: id, Address: silent.LocalAddr().String()})
+		members = append(members, enroller.Member{ID: id, FailureDomain: "d1"})
+	}
+	f[0].links.SetPeers(gone)
+	f[0].SetMembers(members)
+	for _, m := range members {
+		f[0].ApplyReaches(m.ID, []balancer.Reach{{Service: service}})
+	}
+	f[0].peers.known["i1"].inFlight = 2 // The others come first.
+	started := time.Now()
+	_, err = f.send(t.Context(), routefinder.KindIdempotent)
+	assert.NilError(t, err)
+	took := time.Since(started)
+	assert.Assert(t, took >= 2*asked, "no peer was asked before: %v", took)
+	f[1].servers.set(func(s *fakeServers) {
+		left := s.attempts[0].Remaining
+		assert.Assert(t, left <= testRemaining-2*asked, "%v of %v are left after %v", left, testRemaining, took)
+	})
+}
+
 // TestChoiceOfPeer guards against work that goes to peers that are cut off, gone or
 // overloaded.
 func TestChoiceOfPeer(t *testing.T) {
