fix: a connection between instances is watched as long as an answer is awaited

Callers could have waited six seconds for the next event of a stream that comes through a peer that is gone: nothing checked the connection after the head of the answer, and after a pause of this process the library waits for three probe timeouts. For calls with one answer it was checked once, a second after the request, so that a peer that acknowledged the request and then fell silent was waited for as long. The check is repeated now until the answer, or its next part, is there. TestSilentConnectionAfterPause, an answer in parts, failed before: blocked for 6.2 s.

--- a/internal/linker/connection.go
+++ b/internal/linker/connection.go
@@ -17,35 +17,73 @@
 	clock Clock
 
 	mu sync.Mutex
-	// sentAt is the time of the first request that was sent when received packets
-	// had arrived.
-	sentAt   time.Time
-	received uint64
+	// silentSince is when an answer was first awaited after the last packet had arrived.
+	silentSince time.Time
+	received    uint64 // Packets received until then.
 }
 
 // closed reports whether the connection cannot be used any more.
 func (c *connection) closed() bool { return c.Context().Err() != nil }
 
-// closeIfSilent closes the connection if nothing has arrived for idleTimeout after a
-// request was sent.
+// closeIfSilent closes the connection if nothing has arrived for idleTimeout while an
+// answer was awaited.
 func (c *connection) closeIfSilent() {
 	c.mu.Lock()
-	silent := !c.sentAt.IsZero() && c.received == c.ConnectionStats().PacketsReceived && c.clock.Now().Sub(c.sentAt) >= idleTimeout
+	silent := !c.silentSince.IsZero() && c.received == c.ConnectionStats().PacketsReceived && c.clock.Now().Sub(c.silentSince) >= idleTimeout
 	c.mu.Unlock()
 	if silent {
 		_ = c.CloseWithError(codeSilent, "the peer acknowledges nothing")
 	}
 }
 
-// watchSilence is called before a request is sent. The returned timer closes the
-// connection if nothing arrives.
-func (c *connection) watchSilence() clockwork.Timer {
+// A silenceWatch checks a connection while an answer is awaited on it.
+type silenceWatch struct {
+	conn *connection
+
+	mu      sync.Mutex
+	timer   clockwork.Timer
+	stopped bool
+}
+
+// watchSilence is called before a request is sent or the next part of an answer is
+// awaited. The connection is closed if nothing arrives on it for idleTimeout until the
+// watch is stopped; a peer that is there acknowledges the keep-alive packets.
+func (c *connection) watchSilence() *silenceWatch {
+	w := &silenceWatch{conn: c}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = c.clock.AfterFunc(c.untilSilent(), w.check)
+	return w
+}
+
+// Stop ends the watch.
+func (w *silenceWatch) Stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	w.timer.Stop()
+}
+
+func (w *silenceWatch) check() {
+	w.conn.closeIfSilent()
+	if w.conn.closed() {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.stopped {
+		w.timer = w.conn.clock.AfterFunc(w.conn.untilSilent(), w.check)
+	}
+}
+
+// untilSilent returns the time after which the connection counts as silent if nothing
+// arrives on it.
+func (c *connection) untilSilent() time.Duration {
 	now := c.clock.Now()
 	c.mu.Lock()
-	if n := c.ConnectionStats().PacketsReceived; c.sentAt.IsZero() || n != c.received {
-		c.sentAt, c.received = now, n
+	defer c.mu.Unlock()
+	if n := c.ConnectionStats().PacketsReceived; c.silentSince.IsZero() || n != c.received {
+		c.silentSince, c.received = now, n
 	}
-	left := idleTimeout - now.Sub(c.sentAt)
-	c.mu.Unlock()
-	return c.clock.AfterFunc(left, c.closeIfSilent)
+	return max(idleTimeout-now.Sub(c.silentSince), time.Millisecond)
 }
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -273,8 +273,8 @@
 	defer stopWatching()
 	defer stream.CancelRead(codeCancelled)
 
-	silenceTimer := x.conn.watchSilence()
-	defer silenceTimer.Stop()
+	watch := x.conn.watchSilence()
+	defer watch.Stop()
 	x.maybeSent = true
 	if _, err = stream.Write(x.frame); err == nil {
 		err = stream.Close()
--- a/internal/linker/stream.go
+++ b/internal/linker/stream.go
@@ -76,6 +76,7 @@
 // A Parts is an answer in several messages. It is not safe for concurrent use, but Close
 // may be called at any time.
 type Parts struct {
+	conn   *connection
 	stream *quic.Stream
 	kind   Kind
 	linker *Linker
@@ -113,10 +114,8 @@
 		k.discardIfClosed(conn)
 		return nil, merry.Wrap(ErrUnreachable, merry.WithCause(err))
 	}
-	p = &Parts{stream: stream, kind: kind, linker: l}
+	p = &Parts{conn: conn, stream: stream, kind: kind, linker: l}
 	p.stop = context.AfterFunc(ctx, p.cancel)
-	silenceTimer := conn.watchSilence()
-	defer silenceTimer.Stop()
 	if err := p.begin(frame, first, timeout); err != nil {
 		p.Close()
 		k.discardIfClosed(conn)
@@ -128,6 +127,8 @@
 
 // begin sends the request and reads the first message.
 func (p *Parts) begin(frame []byte, first any, timeout time.Duration) error {
+	watch := p.conn.watchSilence()
+	defer watch.Stop()
 	_, err := p.stream.Write(frame)
 	if err == nil {
 		err = p.stream.Close()
@@ -154,6 +155,8 @@
 
 // Next decodes the next message. It returns io.EOF at the end of the answer.
 func (p *Parts) Next(message any) error {
+	watch := p.conn.watchSilence()
+	defer watch.Stop()
 	payload, err := readPart(p.stream)
 	if err != nil {
 		return err
--- a/internal/linker/udpproxy_test.go
+++ b/internal/linker/udpproxy_test.go
@@ -237,6 +237,23 @@
 			assert.Assert(t, time.Since(start) < maxBlockedTime, "no answer for %v", time.Since(start))
 		}
 	})
+	t.Run("an answer in parts", func(t *testing.T) {
+		exchange()
+		for range 3 {
+			proxy.delayPackets(idleTimeout*8/10, exchange)
+		}
+		var n int
+		p, err := a.Open(t.Context(), "entry-b", KindAttempt, 99, &n, partsTimeout)
+		assert.NilError(t, err)
+		defer p.Close()
+		assertCounts(t, p, n, 3)
+		proxy.awaitKnownIDs(func() {})
+		proxy.blackholeKnownIDs()
+		start := time.Now()
+		assert.Assert(t, p.Next(&n) != nil)
+		assert.Assert(t, time.Since(start) < maxBlockedTime, "blocked for %v", time.Since(start))
+		assertAnsweredSoon(t, a, "entry-b")
+	})
 	t.Run("a slow handler does not close the connection", func(t *testing.T) {
 		time.AfterFunc(idleTimeout+idleTimeout/2, func() { close(b.echo.release) })
 		answer, err := a.callEcho("entry-b", "wait")
