fix: connections that fail for work of peers count as well

An instance that is cut off and has no callers of its own for a service did not notice: the connections that failed while it made attempts of peers were not counted, so that peers went on sending it attempts, and each failed after the time of a connection. Each attempt of the client to connect to a server is recorded now where it is made. A case of TestCutOff shows it; before there was no way to record it.

--- a/internal/balancer/placement.go
+++ b/internal/balancer/placement.go
@@ -99,23 +99,21 @@
 		s.soundAt = latest(s.soundAt, placement.startedAt)
 	}
 	before := s.health.suspected(now)
-	marked := 0
 	switch {
 	case placement.ThroughPeer:
 		s.health.recordPeerOutcome(outcome, now)
 	case outcome == OutcomeUnreachable:
-		p.recordUnreachable(s, now, placement.cfg)
-		marked = p.scheduleDomainProbes(s.FailureDomain, now)
-		defer placement.wakeProber()
+		p.recordFailedDial(s, now, placement.cfg)
+		placement.wakeProber()
 	default:
 		s.health.recordOutcome(outcome, now)
 		if outcome.isAnswer() {
 			p.reach.reachedAt = now
 		}
 	}
-	if after := s.health.suspected(now); after != before && outcome != OutcomeFull {
+	if after := s.health.suspected(now); after != before && outcome != OutcomeFull && (placement.ThroughPeer || outcome != OutcomeUnreachable) {
 		placement.cfg.Logger.WithFields(logrus.Fields{
-			"backend-server": s.ID, "failure-domain": s.FailureDomain, "outcome": outcome, "suspected": after, "probed-with-it": marked,
+			"backend-server": s.ID, "failure-domain": s.FailureDomain, "outcome": outcome, "suspected": after,
 		}).Info("belief about a backend server changed")
 	}
 	p.signalCapacity()
--- a/internal/balancer/reach.go
+++ b/internal/balancer/reach.go
@@ -48,24 +48,46 @@
 	nextProbes  time.Time // When the next servers are probed while cutOff.
 }
 
-// RecordConnected records that a connection to the server at an address was opened,
-// other than by a probe.
-func (b *Balancer) RecordConnected(address string) {
+// RecordDial records an attempt to connect to the server at an address, other than a
+// probe, for work of this instance or of a peer.
+func (b *Balancer) RecordDial(address string, err error) {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
 	now := b.cfg.Clock.Now()
-	for service, p := range b.pools {
-		p.mu.Lock()
-		for _, s := range p.order {
-			if s.Address == address {
-				p.recordConnected(service, now, b.cfg)
-				break
-			}
-		}
-		p.mu.Unlock()
+	for _, p := range b.pools {
+		p.recordDial(address, err, now, b.cfg)
+	}
+	if err != nil {
+		b.wakeProber()
 	}
 }
 
+func (p *pool) recordDial(address string, err error, now time.Time, cfg Config) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	i := slices.IndexFunc(p.order, func(s *server) bool { return s.Address == address })
+	switch {
+	case i < 0:
+	case err != nil:
+		p.recordFailedDial(p.order[i], now, cfg)
+	default:
+		p.recordConnected(p.order[i].Service, now, cfg)
+	}
+}
+
+// recordFailedDial records that work found a server unreachable, unless that is known.
+// The caller holds p.mu.
+func (p *pool) recordFailedDial(s *server, now time.Time, cfg Config) {
+	if s.health.unreachable && !s.health.presumed {
+		return
+	}
+	p.recordUnreachable(s, now, cfg)
+	marked := p.scheduleDomainProbes(s.FailureDomain, now)
+	cfg.Logger.WithFields(logrus.Fields{
+		"backend-server": s.ID, "failure-domain": s.FailureDomain, "outcome": OutcomeUnreachable, "suspected": true, "probed-with-it": marked,
+	}).Info("belief about a backend server changed")
+}
+
 // recordConnected records that a connection to a server was opened. The caller holds
 // p.mu.
 func (p *pool) recordConnected(service string, now time.Time, cfg Config) {
--- a/internal/balancer/reach_test.go
+++ b/internal/balancer/reach_test.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"io"
 	"strconv"
 	"testing"
 	"time"
@@ -86,6 +87,14 @@
 		f.runDueProbes()
 		assertCutOff(t, f, false)
 	})
+	t.Run("connections for work of peers", func(t *testing.T) {
+		f := newReachFixture(12, &fakePeers{})
+		f.b.RecordDial("s0:1", io.ErrUnexpectedEOF)
+		f.runDueProbes()
+		assertCutOff(t, f, true)
+		f.b.RecordDial("s7:1", nil)
+		assertCutOff(t, f, false)
+	})
 	t.Run("the servers are replaced during the cut", func(t *testing.T) {
 		f := newReachFixture(3, &fakePeers{takeWork: true})
 		f.failOne(t)
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -55,9 +55,8 @@
 	MaxAnswerBytes int           // Limit for a non-streaming answer.
 	MaxStreamBytes int           // Limit for a stream.
 	Dialer         Dialer        // Nil means TCP with keep-alives and DialTimeout.
-	// Connected is called with the address of each connection that was opened; nil for
-	// never.
-	Connected func(address string)
+	// Dialed is called after each attempt to open a connection for a pool; nil for never.
+	Dialed func(address string, err error)
 }
 
 // A Dialer opens TCP connections.
@@ -181,7 +180,11 @@
 func (s *Sender) dial(address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), s.cfg.DialTimeout)
 	defer cancel()
-	return s.dialContext(ctx, address)
+	c, err := s.dialContext(ctx, address)
+	if s.cfg.Dialed != nil {
+		s.cfg.Dialed(address, err)
+	}
+	return c, err
 }
 
 func (s *Sender) dialContext(ctx context.Context, address string) (net.Conn, error) {
@@ -189,8 +192,5 @@
 	if err != nil {
 		return nil, err
 	}
-	if s.cfg.Connected != nil {
-		s.cfg.Connected(address)
-	}
 	return &conn{TCPConn: c.(*net.TCPConn)}, nil
 }
