fix: servers that are down for all instances are probed at the usual pace

When all servers of a service had failed, an instance probed three of them every 0.3 s, also where no peer reached them: the first one that was back was found seconds later than before, on a large fleet tens of seconds by computation (600 servers at ten a second). The slow pace is for a cut of this instance alone, while peers serve its callers. A case of TestCutOff failed before: 3 of 12 servers were due.

--- a/internal/balancer/health.go
+++ b/internal/balancer/health.go
@@ -40,7 +40,7 @@
 	sample         bool // Due for a probe that helps to tell whether this instance is cut off.
 	probing        bool
 	lost           bool      // It dropped a request, and no probe has shown yet whether it still listens.
-	nextProbeAt    time.Time // Used while the server is unreachable or lost.
+	nextProbeAt    time.Time // Earliest time of the next probe; only while one is of use.
 }
 
 func (h *health) suspected(now time.Time) bool {
@@ -115,8 +115,8 @@
 }
 
 // probeDue reports whether the server is to be probed now.
-func (h *health) probeDue(now time.Time) bool {
-	return !h.probing && (h.sample || (h.unreachable || h.lost) && !now.Before(h.nextProbeAt))
+func (h *health) probeDue(now time.Time, cutOff bool) bool {
+	return !h.probing && (h.sample || (h.unreachable || h.lost || cutOff) && !now.Before(h.nextProbeAt))
 }
 
 // recordProbe records the result of a probe.
--- a/internal/balancer/prober.go
+++ b/internal/balancer/prober.go
@@ -73,19 +73,22 @@
 	defer b.mu.RUnlock()
 	now := b.cfg.Clock.Now()
 	for _, p := range b.pools {
-		due = p.appendDueProbes(due, now)
+		due = p.appendDueProbes(due, now, b.cfg.Peers)
 	}
 	return due
 }
 
 // appendDueProbes appends the servers that are due, those that have waited longest first
-// and only a few of them at a time. While the instance is cut off, any server may show
-// that the cut has ended.
-func (p *pool) appendDueProbes(due []dueProbe, now time.Time) []dueProbe {
+// and only a few of them at a time: fewer while peers serve the callers of an instance
+// that is cut off, and may be many. Any server may show that the cut has ended.
+func (p *pool) appendDueProbes(due []dueProbe, now time.Time, peers Peers) []dueProbe {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if len(p.order) == 0 {
+		return due
+	}
 	limit := maxProbesPerInterval
-	if p.reach.cutOff {
+	if p.reach.cutOff && peers != nil && peers.TakesWork(p.order[0].Service) {
 		if now.Before(p.reach.nextProbes) {
 			return due
 		}
@@ -94,7 +97,7 @@
 	}
 	var waiting []*server
 	for _, s := range p.order {
-		if s.health.probeDue(now) || p.reach.cutOff && !s.health.probing {
+		if s.health.probeDue(now, p.reach.cutOff) {
 			waiting = append(waiting, s)
 		}
 	}
--- a/internal/balancer/reach.go
+++ b/internal/balancer/reach.go
@@ -13,8 +13,8 @@
 	// service. Two are enough if the service has no more, and one never is.
 	cutOffServers, minCutOffServers = 3, 2
 	// cutOffProbes is the number of servers that are probed every probeRetryDelay while
-	// the instance is cut off from their service, so that the end of the cut does not
-	// bring a connection to every server at once.
+	// the instance is cut off from their service and peers take its work, so that many
+	// instances do not probe every server.
 	cutOffProbes = 3
 	// maxProbesPerInterval limits the probes of one service in each probeInterval.
 	maxProbesPerInterval = 16
@@ -45,7 +45,7 @@
 	failed      map[string]bool
 	firstFailed time.Time // When the first of failed became unreachable.
 	cutOff      bool
-	nextProbes  time.Time // When the next servers are probed while cutOff.
+	nextProbes  time.Time // When the next servers are probed while cutOff and peers take work.
 }
 
 // RecordDial records an attempt to connect to the server at an address, other than a
