fix: what an answer through a peer says about its server is known here at once

Limits that servers state, and that they leave, were recorded at the peer that made the attempt only, and came with its next report; in a fleet of cells a peer of another domain sends none. The instance that chose the server records them too now. The message to the peer loses the version of the server, which nothing read. The check in TestSendThroughPeer fails without the change, by the empty list it then has; that was not run.

--- a/internal/tunneler/messages.go
+++ b/internal/tunneler/messages.go
@@ -26,7 +26,6 @@
 	Server           string        `cbor:"server"`
 	ServerAddress    string        `cbor:"server-address"`
 	ServerStartedAt  int64         `cbor:"server-started-at"`
-	ServerVersion    string        `cbor:"server-version"`
 	Remaining        time.Duration `cbor:"remaining"`
 	FirstByteTimeout time.Duration `cbor:"first-byte-timeout"`
 	LastEventID      string        `cbor:"last-event-id"`
@@ -71,7 +70,7 @@
 	return request{
 		ID: q.ID, Workspace: q.Workspace, Service: q.Service, Kind: q.Route.Kind, Method: q.Method, Host: q.Host, Target: q.Target,
 		Header: fieldsOf(q.Header), Body: q.Body, Server: a.Backend.ID, ServerAddress: a.Backend.Address,
-		ServerStartedAt: a.Backend.StartedAt, ServerVersion: a.Backend.Version, Remaining: a.Remaining,
+		ServerStartedAt: a.Backend.StartedAt, Remaining: a.Remaining,
 		FirstByteTimeout: a.FirstByteTimeout, LastEventID: a.LastEventID, Batch: a.Batch,
 	}
 }
@@ -84,7 +83,7 @@
 			Method: r.Method, Host: r.Host, Target: r.Target, Header: headerOf(r.Header), Body: r.Body,
 		},
 		Backend: balancer.Backend{
-			ID: r.Server, Service: r.Service, Address: r.ServerAddress, StartedAt: r.ServerStartedAt, Version: r.ServerVersion,
+			ID: r.Server, Service: r.Service, Address: r.ServerAddress, StartedAt: r.ServerStartedAt,
 		},
 		Remaining: r.Remaining, FirstByteTimeout: r.FirstByteTimeout, LastEventID: r.LastEventID, Batch: r.Batch,
 	}
--- a/internal/tunneler/tunneler.go
+++ b/internal/tunneler/tunneler.go
@@ -45,6 +45,11 @@
 	CutOff(service string) bool
 }
 
+// An Observer records what the answers of servers say about the servers.
+type Observer interface {
+	ObserveAnswer(b balancer.Backend, answer *forwarder.Answer, sentAt time.Time)
+}
+
 // A Clock tells the time.
 type Clock interface {
 	Now() time.Time
@@ -52,12 +57,13 @@
 
 // Config holds the dependencies of a tunneler.
 type Config struct {
-	Self   enroller.Member
-	Direct forwarder.BackendClient // Connects to the servers from here.
-	Links  Links
-	Clock  Clock
-	Logger logrus.FieldLogger
-	Meter  metric.Meter
+	Self     enroller.Member
+	Direct   forwarder.BackendClient // Connects to the servers from here, and observes their answers.
+	Observer Observer                // Observes the answers that come through peers.
+	Links    Links
+	Clock    Clock
+	Logger   logrus.FieldLogger
+	Meter    metric.Meter
 }
 
 // A Tunneler is a client of the backend servers that makes attempts directly or through
@@ -123,6 +129,9 @@
 		}
 		tried = append(tried, id)
 		answer, err := t.sendThrough(ctx, id, requestOf(left))
+		if err == nil {
+			t.cfg.Observer.ObserveAnswer(a.Backend, answer, now)
+		}
 		if !isNotTaken(err) || ctx.Err() != nil {
 			return answer, err
 		}
--- a/internal/tunneler/tunneler_test.go
+++ b/internal/tunneler/tunneler_test.go
@@ -36,6 +36,12 @@
 	failure  *sender.Failure // Of each attempt; nil for none.
 	end      error           // Of each stream.
 	held     chan struct{}   // If not nil, streams wait for it after the first event.
+	observed []string        // Servers whose answers came through peers.
+}
+
+// ObserveAnswer implements Observer.
+func (s *fakeServers) ObserveAnswer(b balancer.Backend, _ *forwarder.Answer, _ time.Time) {
+	s.set(func(s *fakeServers) { s.observed = append(s.observed, b.ID) })
 }
 
 // Send implements forwarder.BackendClient.
@@ -147,7 +153,7 @@
 	i.links, err = linker.New(linker.Config{InstanceID: id, ListenAddress: "127.0.0.1:0", TLS: tlsConfig, Clock: clock, Logger: logger})
 	assert.NilError(t, err)
 	i.Tunneler, err = New(Config{
-		Self: enroller.Member{ID: id, FailureDomain: "d1"}, Direct: i.servers, Links: i.links, Clock: clock, Logger: logger, Meter: noop.Meter{},
+		Self: enroller.Member{ID: id, FailureDomain: "d1"}, Direct: i.servers, Observer: i.servers, Links: i.links, Clock: clock, Logger: logger, Meter: noop.Meter{},
 	})
 	assert.NilError(t, err)
 	i.SetReach(reach)
@@ -202,6 +208,7 @@
 		assert.Equal(t, a.LastEventID, "4")
 		assert.Equal(t, a.Backend.Start(), balancer.Backend{ID: "s1", StartedAt: 7}.Start())
 		assert.Equal(t, f[0].servers.count(), 0)
+		f[0].servers.set(func(s *fakeServers) { assert.DeepEqual(t, s.observed, []string{"s1"}) })
 	})
 	t.Run("a stream", func(t *testing.T) {
 		f := newFleet(t, true, false)
