--- a/internal/balancer/pool.go
+++ b/internal/balancer/pool.go
@@ -104,7 +104,7 @@
 	// onlineRefusedAt is when an online request was last refused for want of room.
 	onlineRefusedAt time.Time
 	nextReturnAt    time.Time // When the caller that was refused last for a limit is to return.
-	reach           reach
+	reach           reachState
 }
 
 func newPool() *pool {
--- a/internal/balancer/reach.go
+++ b/internal/balancer/reach.go
@@ -20,8 +20,8 @@
 	maxProbesPerInterval = 16
 )
 
-// A Reach says whether an instance reaches the servers of a service.
-type Reach struct {
+// A ServiceReach says whether an instance reaches the servers of a service.
+type ServiceReach struct {
 	_       struct{} `cbor:",toarray"`
 	Service string
 	CutOff  bool  // No connection to a server can be opened.
@@ -37,9 +37,9 @@
 	ReachedSince(service string, t time.Time) bool
 }
 
-// A reach is the state of a pool that tells a cut between this instance and the servers
+// A reachState is the state of a pool that tells a cut between this instance and the servers
 // from trouble of single servers.
-type reach struct {
+type reachState struct {
 	reachedAt time.Time // When a server last answered, or a connection to one was opened; zero if never.
 	// failed are the servers that became unreachable since a connection was last opened.
 	failed      map[string]bool
@@ -175,15 +175,15 @@
 	return p.reach.cutOff
 }
 
-// Reaches returns for each service with servers whether this instance reaches them.
-func (b *Balancer) Reaches() (reaches []Reach) {
+// ServiceReaches returns for each service with servers whether this instance reaches them.
+func (b *Balancer) ServiceReaches() (reaches []ServiceReach) {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
 	now := b.cfg.Clock.Now()
 	for service, p := range b.pools {
 		p.mu.Lock()
 		if len(p.order) > 0 {
-			r := Reach{Service: service, CutOff: p.reach.cutOff, AgeMs: -1}
+			r := ServiceReach{Service: service, CutOff: p.reach.cutOff, AgeMs: -1}
 			if !p.reach.reachedAt.IsZero() {
 				r.AgeMs = now.Sub(p.reach.reachedAt).Milliseconds()
 			}
@@ -197,7 +197,7 @@
 // CutOffFromAll reports whether the instance is cut off from all services that have
 // servers.
 func (b *Balancer) CutOffFromAll() bool {
-	reaches := b.Reaches()
+	reaches := b.ServiceReaches()
 	for _, r := range reaches {
 		if !r.CutOff {
 			return false
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -70,7 +70,7 @@
 	// instance knows.
 	Leavers []throttler.Server `cbor:"leavers,omitempty"`
 	// Reaches says for each service whether the instance reaches its servers.
-	Reaches []balancer.Reach `cbor:"reaches,omitempty"`
+	Reaches []balancer.ServiceReach `cbor:"reaches,omitempty"`
 	// Connected reports whether the instance reads its copies from the store itself.
 	Connected bool `cbor:"connected"`
 
@@ -129,7 +129,7 @@
 
 // PeerReaches tracks which services the peers reach. *tunneler.Tunneler implements it.
 type PeerReaches interface {
-	ApplyReaches(peer string, reaches []balancer.Reach)
+	ApplyReaches(peer string, reaches []balancer.ServiceReach)
 }
 
 // Config holds the dependencies of a gossiper.
@@ -305,7 +305,7 @@
 	sequence := g.sequence
 	cellName := g.cell.Name
 	g.mu.Unlock()
-	r := Report{Incarnation: g.cfg.Self.Incarnation, CellName: cellName, Sequence: sequence, Loads: g.cfg.Balancer.LocalLoads(), Usages: g.cfg.Quotas.Report(), Versions: map[string]int64{}, Changes: map[string]int64{}, Jobs: g.cfg.JobOwners.NewlyOwnedJobs(), Waiting: g.cfg.JobOwners.WaitingTokens(), Suspects: g.cfg.Suspects.Report(), Limits: g.cfg.Limits.Report(), Leavers: g.cfg.Balancer.Leavers(), Reaches: g.cfg.Balancer.Reaches()}
+	r := Report{Incarnation: g.cfg.Self.Incarnation, CellName: cellName, Sequence: sequence, Loads: g.cfg.Balancer.LocalLoads(), Usages: g.cfg.Quotas.Report(), Versions: map[string]int64{}, Changes: map[string]int64{}, Jobs: g.cfg.JobOwners.NewlyOwnedJobs(), Waiting: g.cfg.JobOwners.WaitingTokens(), Suspects: g.cfg.Suspects.Report(), Limits: g.cfg.Limits.Report(), Leavers: g.cfg.Balancer.Leavers(), Reaches: g.cfg.Balancer.ServiceReaches()}
 	r.Connected = true
 	for name, source := range g.cfg.Sources {
 		r.Versions[name] = source.Version()
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -52,7 +52,7 @@
 
 type noReaches struct{}
 
-func (noReaches) ApplyReaches(string, []balancer.Reach) {}
+func (noReaches) ApplyReaches(string, []balancer.ServiceReach) {}
 
 // A fakeSource records the version that it was told to observe.
 type fakeSource struct{ observed int64 }
--- a/internal/tunneler/peers.go
+++ b/internal/tunneler/peers.go
@@ -46,55 +46,55 @@
 	return &peers{domain: domain, known: map[string]*peer{}}
 }
 
-func (p *peers) set(members []enroller.Member) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+func (ps *peers) set(members []enroller.Member) {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
 	known := make(map[string]*peer, len(members))
 	for _, m := range members {
 		if m.Leaving {
 			continue
 		}
-		known[m.ID] = p.known[m.ID]
+		known[m.ID] = ps.known[m.ID]
 		if known[m.ID] == nil {
 			known[m.ID] = &peer{id: m.ID, reachedAt: map[string]time.Time{}}
 		}
 		known[m.ID].domain = m.FailureDomain
 	}
-	p.known = known
+	ps.known = known
 }
 
-func (p *peers) applyReaches(id string, reaches []balancer.Reach, now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	k := p.known[id]
-	if k == nil {
+func (ps *peers) applyReaches(id string, reaches []balancer.ServiceReach, now time.Time) {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	p := ps.known[id]
+	if p == nil {
 		return
 	}
-	k.reportedAt = now
-	k.cutOff = map[string]bool{}
+	p.reportedAt = now
+	p.cutOff = map[string]bool{}
 	for _, r := range reaches {
-		k.cutOff[r.Service] = r.CutOff
+		p.cutOff[r.Service] = r.CutOff
 		if r.AgeMs >= 0 {
-			k.reachedAt[r.Service] = now.Add(-time.Duration(r.AgeMs) * time.Millisecond)
+			p.reachedAt[r.Service] = now.Add(-time.Duration(r.AgeMs) * time.Millisecond)
 		}
 	}
 }
 
 // recordAnswer records that a server has answered through a peer.
-func (p *peers) recordAnswer(id, service string, now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if k := p.known[id]; k != nil {
-		k.reachedAt[service] = now
+func (ps *peers) recordAnswer(id, service string, now time.Time) {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	if p := ps.known[id]; p != nil {
+		p.reachedAt[service] = now
 	}
 }
 
 // reachedSince reports whether a peer has reached a server of the service since t.
-func (p *peers) reachedSince(service string, t time.Time) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, k := range p.known {
-		if k.reachedAt[service].After(t) {
+func (ps *peers) reachedSince(service string, t time.Time) bool {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	for _, p := range ps.known {
+		if p.reachedAt[service].After(t) {
 			return true
 		}
 	}
@@ -102,50 +102,50 @@
 }
 
 // takesWork reports whether a peer may pass work on.
-func (p *peers) takesWork(service string, now time.Time) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, k := range p.known {
-		if k.reports(now) && !k.cutOff[service] && k.isFree(now) || p.isUnknown(k) && k.isFree(now) {
+func (ps *peers) takesWork(service string, now time.Time) bool {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	for _, p := range ps.known {
+		if p.reports(now) && !p.cutOff[service] && p.isFree(now) || ps.isUnknown(p) && p.isFree(now) {
 			return true
 		}
 	}
 	return false
 }
 
-func (k *peer) reports(now time.Time) bool {
-	return !k.reportedAt.IsZero() && now.Sub(k.reportedAt) < reportTimeout
+func (p *peer) reports(now time.Time) bool {
+	return !p.reportedAt.IsZero() && now.Sub(p.reportedAt) < reportTimeout
 }
 
-func (k *peer) isFree(now time.Time) bool {
-	return !now.Before(k.avoidUntil) && k.inFlight < maxInFlight
+func (p *peer) isFree(now time.Time) bool {
+	return !now.Before(p.avoidUntil) && p.inFlight < maxInFlight
 }
 
 // isUnknown reports whether a peer sends no reports to this instance, but may reach the
 // servers: it belongs to another failure domain.
-func (p *peers) isUnknown(k *peer) bool { return k.reportedAt.IsZero() && k.domain != p.domain }
+func (ps *peers) isUnknown(p *peer) bool { return p.reportedAt.IsZero() && p.domain != ps.domain }
 
 // take chooses a peer that has not been tried and counts a request on it. Peers that
 // report that they are not cut off come first. It returns "" if there is none.
-func (p *peers) take(service string, tried []string, now time.Time) string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+func (ps *peers) take(service string, tried []string, now time.Time) string {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
 	var best *peer
 	bestCost := 0.0
 	for _, reporting := range []bool{true, false} {
-		for _, k := range p.known {
-			if slices.Contains(tried, k.id) || !k.isFree(now) {
+		for _, p := range ps.known {
+			if slices.Contains(tried, p.id) || !p.isFree(now) {
 				continue
 			}
-			if reporting && (!k.reports(now) || k.cutOff[service]) || !reporting && !p.isUnknown(k) {
+			if reporting && (!p.reports(now) || p.cutOff[service]) || !reporting && !ps.isUnknown(p) {
 				continue
 			}
-			cost := float64(k.inFlight) + rand.Float64()
-			if k.domain != p.domain {
+			cost := float64(p.inFlight) + rand.Float64()
+			if p.domain != ps.domain {
 				cost += otherDomainCost
 			}
 			if best == nil || cost < bestCost {
-				best, bestCost = k, cost
+				best, bestCost = p, cost
 			}
 		}
 		if best != nil {
@@ -157,18 +157,18 @@
 }
 
 // release ends a request that take has counted.
-func (p *peers) release(id string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if k := p.known[id]; k != nil && k.inFlight > 0 {
-		k.inFlight--
+func (ps *peers) release(id string) {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	if p := ps.known[id]; p != nil && p.inFlight > 0 {
+		p.inFlight--
 	}
 }
 
-func (p *peers) avoid(id string, now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if k := p.known[id]; k != nil {
-		k.avoidUntil = now.Add(avoidTime)
+func (ps *peers) avoid(id string, now time.Time) {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	if p := ps.known[id]; p != nil {
+		p.avoidUntil = now.Add(avoidTime)
 	}
 }
--- a/internal/tunneler/tunneler.go
+++ b/internal/tunneler/tunneler.go
@@ -39,9 +39,9 @@
 	HandleStream(kind linker.Kind, h linker.StreamHandler)
 }
 
-// Reach knows whether this instance is cut off from the servers of a service.
+// Reachability knows whether this instance is cut off from the servers of a service.
 // *balancer.Balancer implements it.
-type Reach interface {
+type Reachability interface {
 	CutOff(service string) bool
 }
 
@@ -70,7 +70,7 @@
 // a peer.
 type Tunneler struct {
 	cfg      Config
-	reach    Reach // Nil until SetReach.
+	reach    Reachability // Nil until SetReachability.
 	attempts metric.Int64Counter
 	peers    *peers
 
@@ -89,14 +89,14 @@
 	return t, err
 }
 
-// SetReach must be called before the first attempt.
-func (t *Tunneler) SetReach(reach Reach) { t.reach = reach }
+// SetReachability must be called before the first attempt.
+func (t *Tunneler) SetReachability(reach Reachability) { t.reach = reach }
 
 // SetMembers sets the other instances of the fleet.
 func (t *Tunneler) SetMembers(members []enroller.Member) { t.peers.set(members) }
 
 // ApplyReaches records which services a peer reaches.
-func (t *Tunneler) ApplyReaches(peer string, reaches []balancer.Reach) {
+func (t *Tunneler) ApplyReaches(peer string, reaches []balancer.ServiceReach) {
 	t.peers.applyReaches(peer, reaches, t.cfg.Clock.Now())
 }
 
--- a/internal/tunneler/tunneler_test.go
+++ b/internal/tunneler/tunneler_test.go
@@ -100,11 +100,11 @@
 // Close implements forwarder.Stream.
 func (s *fakeStream) Close() {}
 
-// fakeReach is whether an instance is cut off from all servers.
-type fakeReach bool
+// fakeReachability is whether an instance is cut off from all servers.
+type fakeReachability bool
 
-// CutOff implements Reach.
-func (r fakeReach) CutOff(string) bool { return bool(r) }
+// CutOff implements Reachability.
+func (r fakeReachability) CutOff(string) bool { return bool(r) }
 
 // An instance is a tunneler with its link and servers.
 type instance struct {
@@ -125,7 +125,7 @@
 	var members []enroller.Member
 	for n := range cutOff {
 		id := "i" + strconv.Itoa(n)
-		i := startInstance(t, authority, id, fakeReach(cutOff[n]))
+		i := startInstance(t, authority, id, fakeReachability(cutOff[n]))
 		f = append(f, i)
 		peers = append(peers, linker.Peer{ID: id, Address: i.links.Address()})
 		members = append(members, enroller.Member{ID: id, FailureDomain: "d1"})
@@ -134,13 +134,13 @@
 		i.links.SetPeers(peers)
 		i.SetMembers(append(members[:n:n], members[n+1:]...))
 		for other := range f {
-			i.ApplyReaches(members[other].ID, []balancer.Reach{{Service: service, AgeMs: 1}})
+			i.ApplyReaches(members[other].ID, []balancer.ServiceReach{{Service: service, AgeMs: 1}})
 		}
 	}
 	return f
 }
 
-func startInstance(t *testing.T, authority *linker.Authority, id string, reach Reach) *instance {
+func startInstance(t *testing.T, authority *linker.Authority, id string, reach Reachability) *instance {
 	t.Helper()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
@@ -156,7 +156,7 @@
 		Self: enroller.Member{ID: id, FailureDomain: "d1"}, Direct: i.servers, Observer: i.servers, Links: i.links, Clock: clock, Logger: logger, Meter: noop.Meter{},
 	})
 	assert.NilError(t, err)
-	i.SetReach(reach)
+	i.SetReachability(reach)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := i.links.Start(ctx)
 	i.stop = sync.OnceFunc(func() {
@@ -302,7 +302,7 @@
 	f[0].links.SetPeers(gone)
 	f[0].SetMembers(members)
 	for _, m := range members {
-		f[0].ApplyReaches(m.ID, []balancer.Reach{{Service: service}})
+		f[0].ApplyReaches(m.ID, []balancer.ServiceReach{{Service: service}})
 	}
 	f[0].peers.known["i1"].inFlight = 2 // The others come first.
 	started := time.Now()
@@ -320,9 +320,9 @@
 // overloaded.
 func TestChoiceOfPeer(t *testing.T) {
 	now := time.Unix(1000, 0)
-	reached := []balancer.Reach{{Service: service, AgeMs: 10}}
-	cutOff := []balancer.Reach{{Service: service, CutOff: true, AgeMs: 10}}
-	newPeersOf := func(reaches map[string][]balancer.Reach) *peers {
+	reached := []balancer.ServiceReach{{Service: service, AgeMs: 10}}
+	cutOff := []balancer.ServiceReach{{Service: service, CutOff: true, AgeMs: 10}}
+	newPeersOf := func(reaches map[string][]balancer.ServiceReach) *peers {
 		p := newPeers("d1")
 		var members []enroller.Member
 		for id := range reaches {
@@ -342,28 +342,28 @@
 		assert.Equal(t, p.take(service, nil, at), want)
 	}
 	t.Run("one of the same failure domain", func(t *testing.T) {
-		assertTaken(t, newPeersOf(map[string][]balancer.Reach{"d1-a": reached, "d2-a": reached}), now, "d1-a")
+		assertTaken(t, newPeersOf(map[string][]balancer.ServiceReach{"d1-a": reached, "d2-a": reached}), now, "d1-a")
 	})
 	t.Run("one that is cut off", func(t *testing.T) {
-		assertTaken(t, newPeersOf(map[string][]balancer.Reach{"d1-a": cutOff, "d2-a": reached}), now, "d2-a")
-		assertTaken(t, newPeersOf(map[string][]balancer.Reach{"d1-a": cutOff}), now, "")
+		assertTaken(t, newPeersOf(map[string][]balancer.ServiceReach{"d1-a": cutOff, "d2-a": reached}), now, "d2-a")
+		assertTaken(t, newPeersOf(map[string][]balancer.ServiceReach{"d1-a": cutOff}), now, "")
 	})
 	t.Run("one that has fallen silent", func(t *testing.T) {
-		assertTaken(t, newPeersOf(map[string][]balancer.Reach{"d2-a": reached}), now.Add(reportTimeout), "")
+		assertTaken(t, newPeersOf(map[string][]balancer.ServiceReach{"d2-a": reached}), now.Add(reportTimeout), "")
 	})
 	t.Run("one of another cell sends no reports", func(t *testing.T) {
-		assertTaken(t, newPeersOf(map[string][]balancer.Reach{"d1-a": cutOff, "d2-a": nil}), now, "d2-a")
-		assertTaken(t, newPeersOf(map[string][]balancer.Reach{"d1-a": nil}), now, "")
+		assertTaken(t, newPeersOf(map[string][]balancer.ServiceReach{"d1-a": cutOff, "d2-a": nil}), now, "d2-a")
+		assertTaken(t, newPeersOf(map[string][]balancer.ServiceReach{"d1-a": nil}), now, "")
 	})
 	t.Run("one that did not take an attempt", func(t *testing.T) {
-		p := newPeersOf(map[string][]balancer.Reach{"d1-a": reached})
+		p := newPeersOf(map[string][]balancer.ServiceReach{"d1-a": reached})
 		p.avoid("d1-a", now)
 		assertTaken(t, p, now, "")
 		p.applyReaches("d1-a", reached, now.Add(avoidTime))
 		assertTaken(t, p, now.Add(avoidTime), "d1-a")
 	})
 	t.Run("work is spread", func(t *testing.T) {
-		p := newPeersOf(map[string][]balancer.Reach{"d2-a": reached, "d2-b": reached, "d3-a": reached})
+		p := newPeersOf(map[string][]balancer.ServiceReach{"d2-a": reached, "d2-b": reached, "d3-a": reached})
 		taken := map[string]int{}
 		for range 300 {
 			taken[p.take(service, nil, now)]++
@@ -377,7 +377,7 @@
 		assert.Equal(t, p.take(service, nil, now), "d2-a")
 	})
 	t.Run("the limit of requests under way", func(t *testing.T) {
-		p := newPeersOf(map[string][]balancer.Reach{"d1-a": reached})
+		p := newPeersOf(map[string][]balancer.ServiceReach{"d1-a": reached})
 		for range maxInFlight {
 			assertTaken(t, p, now, "d1-a")
 		}
