fix: an entry that the store writes late stays bound to the lease in use

Callers saw accepted jobs that never ended, and results that were missing at one of two owners, after the store had lost the answer of an enrollment.

Cause: each write of an instance entry was unconditional and had a lease of its own. A write that was carried out seconds after its repetition bound the entry to a lease that nobody renewed. The entry vanished, the instance went on as the owner of its jobs, and nobody took them over when it was lost.

Writes of the entry now expect its known version and share one lease, so at most one takes effect, whenever that is. The removal at shutdown expects the version that was written. An instance that finds its entry absent or overwritten ends its term and enrolls again; the records of jobs are scanned when a term begins, and no job is accepted without a lease.

TestTakeOver simulated a late write by a submission without a lease, which is refused now; it holds the lease while it submits.

--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -3,6 +3,7 @@
 package enroller
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"slices"
@@ -29,6 +30,9 @@
 	renewInterval = 1500 * time.Millisecond
 	// retryInterval is the delay before a failed call is retried.
 	retryInterval = 400 * time.Millisecond
+	// maxEntryWrites limits the writes of the own entry in one step: the first one may
+	// expect another version than the entry has.
+	maxEntryWrites = 2
 	// absentRetention is how long the quota share of an instance whose entry expired
 	// without notice is reserved for it. The instance may be cut off from the store and
 	// still serve its callers.
@@ -53,6 +57,7 @@
 
 // A Store is the part of the platform's store that an enroller needs.
 type Store interface {
+	Get(ctx context.Context, key string) (storer.Entry, error)
 	Commit(ctx context.Context, t storer.Transaction) (version int64, err error)
 	GrantLease(ctx context.Context, ttl time.Duration) (storer.Lease, error)
 	RenewLease(ctx context.Context, lease storer.Lease) (storer.Lease, error)
@@ -67,6 +72,9 @@
 	Logger logrus.FieldLogger
 	// Changed is called after each change of the membership. Calls are serialized.
 	Changed func(m Membership)
+	// Enrolled is called after each enrollment. What this instance owned may have been
+	// taken over since the last one. Nil means that nothing depends on it.
+	Enrolled func()
 }
 
 // A Membership is the set of known instances.
@@ -89,12 +97,19 @@
 	self                Member
 	entriesApplied      bool    // ApplyEntries was called.
 	previousIncarnation *Member // See Membership.
-	lease               storer.Lease
-	enrolled            bool
-	term                int // Number of enrollments.
-	peers               map[string]Member
-	absent              map[string]Member    // By ID.
-	lastAliveAt         map[string]time.Time // When an absent instance's entry expired or its last report arrived.
+	// lease is kept until it ends, also while the effect of a write of the entry is
+	// unknown: all writes of the entry are bound to it, so none that takes effect late
+	// binds the entry to a lease that nobody renews.
+	lease storer.Lease
+	// entryVersion is the last known version of the own entry; zero if it was absent.
+	// Each write of the entry expects it, so at most one of the writes that expect the
+	// same version takes effect.
+	entryVersion int64
+	enrolled     bool // The entry at entryVersion is self, bound to lease.
+	term         int  // Number of enrollments.
+	peers        map[string]Member
+	absent       map[string]Member    // By ID.
+	lastAliveAt  map[string]time.Time // When an absent instance's entry expired or its last report arrived.
 
 	notifyMu sync.Mutex // Serializes calls of Changed.
 	wake     chan struct{}
@@ -148,6 +163,9 @@
 			return retryInterval
 		}
 		e.cfg.Logger.WithField("lease", lease.ID).Warn("lease expired; enrolling again")
+		e.mu.Lock()
+		e.enrolled, e.lease, e.entryVersion = false, storer.Lease{}, 0 // The entry ended with the lease.
+		e.mu.Unlock()
 	}
 	if err := e.enroll(ctx); err != nil {
 		if ctx.Err() == nil {
@@ -160,30 +178,119 @@
 
 func (e *Enroller) key() string { return e.cfg.Prefix + e.cfg.Self.ID }
 
+// enroll writes the entry of this instance.
 func (e *Enroller) enroll(ctx context.Context) (err error) {
 	defer func() { err = merry.Prepend(err, "enroll") }()
+	lease, err := e.ensureLease(ctx)
+	if err != nil {
+		return err
+	}
 	e.mu.Lock()
-	e.enrolled = false
 	self := e.self
 	e.mu.Unlock()
-	lease, err := e.cfg.Store.GrantLease(ctx, leaseTTL)
+	version, err := e.writeEntry(ctx, self, lease)
 	if err != nil {
 		return err
 	}
+	if !e.beginTerm(self, version) {
+		return nil
+	}
+	e.cfg.Logger.WithFields(logrus.Fields{"lease": lease.ID, "leaving": self.Leaving, "version": version}).Info("enrolled")
+	if e.cfg.Enrolled != nil {
+		e.cfg.Enrolled()
+	}
+	return nil
+}
+
+// beginTerm records that the entry at a version is self. It returns false if Leave was
+// called, or the entry was found changed, meanwhile: the next step writes it again.
+func (e *Enroller) beginTerm(self Member, version int64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	changed := e.entryVersion > version
+	e.entryVersion = max(e.entryVersion, version)
+	e.enrolled = !changed && e.self == self
+	if e.enrolled {
+		e.term++
+	}
+	return e.enrolled
+}
+
+// writeEntry writes the entry and returns its version. It writes it again if the entry
+// had another version than expected.
+func (e *Enroller) writeEntry(ctx context.Context, self Member, lease storer.Lease) (version int64, err error) {
 	value, err := encode(self)
 	if err != nil {
-		return err
+		return 0, err
+	}
+	for range maxEntryWrites {
+		e.mu.Lock()
+		expected := e.entryVersion
+		e.mu.Unlock()
+		version, err = e.cfg.Store.Commit(ctx, storer.Transaction{
+			Expect: []storer.Precondition{{Key: e.key(), Version: expected}},
+			Writes: []storer.Write{{Key: e.key(), Value: value, LeaseID: lease.ID}},
+		})
+		if errors.Is(err, storer.ErrLeaseExpired) {
+			e.dropLease()
+		}
+		if !errors.Is(err, storer.ErrConflict) {
+			return version, err
+		}
+		version, err = e.resolveConflict(ctx, value, lease)
+		if !errors.Is(err, storer.ErrConflict) {
+			return version, err
+		}
+	}
+	return 0, err
+}
+
+// ensureLease returns the current lease, renewed unless most of its time is left, or a
+// new one if there is none or it has ended.
+func (e *Enroller) ensureLease(ctx context.Context) (lease storer.Lease, err error) {
+	e.mu.Lock()
+	lease = e.lease
+	e.mu.Unlock()
+	if lease.Live(e.cfg.Clock.Now().Add(leaseTTL / 2)) {
+		return lease, nil
+	}
+	if lease.ID != 0 {
+		lease, err = e.cfg.Store.RenewLease(ctx, lease)
+	}
+	if lease.ID == 0 || errors.Is(err, storer.ErrLeaseExpired) {
+		lease, err = e.cfg.Store.GrantLease(ctx, leaseTTL)
 	}
-	_, err = e.cfg.Store.Commit(ctx, storer.Transaction{Writes: []storer.Write{{Key: e.key(), Value: value, LeaseID: lease.ID}}})
 	if err != nil {
-		return err
+		return storer.Lease{}, err
 	}
 	e.mu.Lock()
-	e.lease, e.enrolled = lease, true
-	e.term++
+	e.lease = lease
 	e.mu.Unlock()
-	e.cfg.Logger.WithFields(logrus.Fields{"lease": lease.ID, "leaving": self.Leaving}).Info("enrolled")
-	return nil
+	return lease, nil
+}
+
+func (e *Enroller) dropLease() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lease = storer.Lease{}
+}
+
+// resolveConflict reads the entry after a write of it conflicted. It returns its
+// version if the entry is what was written, by an earlier write whose answer was lost.
+// Otherwise the next write expects that version.
+func (e *Enroller) resolveConflict(ctx context.Context, value []byte, lease storer.Lease) (version int64, err error) {
+	entry, err := e.cfg.Store.Get(ctx, e.key())
+	if err != nil && !errors.Is(err, storer.ErrNotFound) {
+		return 0, err
+	}
+	if err == nil && entry.LeaseID == lease.ID && bytes.Equal(entry.Value, value) {
+		return entry.Version, nil
+	}
+	e.mu.Lock()
+	e.entryVersion = entry.Version
+	e.mu.Unlock()
+	e.cfg.Logger.WithFields(logrus.Fields{"version": entry.Version, "entry-lease": entry.LeaseID, "lease": lease.ID}).Warn("the entry of this instance has changed; writing it again")
+	return 0, storer.ErrConflict
 }
 
 // Term returns the number of the current enrollment and whether its lease is
@@ -203,16 +310,34 @@
 	e.self.Leaving = true
 	e.enrolled = false
 	e.mu.Unlock()
+	e.wakeUp()
+}
+
+func (e *Enroller) wakeUp() {
 	select {
 	case e.wake <- struct{}{}:
 	default:
 	}
 }
 
+// removeEntry removes the entry that this instance wrote. A removal that takes effect
+// late leaves the entry of the next incarnation alone.
 func (e *Enroller) removeEntry(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, retryInterval)
 	defer cancel()
-	_, err := e.cfg.Store.Commit(ctx, storer.Transaction{Remove: []string{e.key()}})
+	e.mu.Lock()
+	version := e.entryVersion
+	e.mu.Unlock()
+	if version == 0 {
+		return nil
+	}
+	_, err := e.cfg.Store.Commit(ctx, storer.Transaction{
+		Expect: []storer.Precondition{{Key: e.key(), Version: version}},
+		Remove: []string{e.key()},
+	})
+	if errors.Is(err, storer.ErrConflict) {
+		return nil // The entry is gone already, or another writer's.
+	}
 	return merry.Prepend(err, "remove entry")
 }
 
@@ -220,6 +345,7 @@
 func (e *Enroller) ApplyEntries(c follower.Snapshot) {
 	now := e.cfg.Clock.Now()
 	e.mu.Lock()
+	e.checkOwnEntry(c)
 	present := map[string]bool{}
 	for _, entry := range c.Entries {
 		var m Member
@@ -251,6 +377,28 @@
 	e.notifyChanged()
 }
 
+// checkOwnEntry compares the own entry with a snapshot. While it is absent or another
+// writer's, other instances may take over what this one owns, also if its lease is
+// valid. The caller holds e.mu.
+func (e *Enroller) checkOwnEntry(c follower.Snapshot) {
+	var version int64
+	for _, entry := range c.Entries {
+		if entry.Key == e.key() {
+			version = entry.Version
+		}
+	}
+	if max(c.Version, version) < e.entryVersion || version == e.entryVersion {
+		return
+	}
+	e.entryVersion = version
+	if !e.enrolled {
+		return
+	}
+	e.enrolled = false
+	e.cfg.Logger.WithFields(logrus.Fields{"version": version, "lease": e.lease.ID}).Warn("the entry of this instance is absent or another writer's; enrolling again")
+	e.wakeUp()
+}
+
 // MarkAlive records that an instance has sent a report.
 func (e *Enroller) MarkAlive(id string) {
 	e.mu.Lock()
--- a/internal/enroller/enroller_test.go
+++ b/internal/enroller/enroller_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,47 +21,66 @@
 const prefix = "member/"
 
 type fixture struct {
-	store *storeemulator.Store
-	e     *Enroller
-	stop  func()
+	store       *storeemulator.Store
+	late        *lateStore // Wraps store.
+	e           *Enroller
+	cancel      context.CancelFunc
+	ended       <-chan error
+	enrollments atomic.Int64 // Calls of Enrolled.
 
 	mu   sync.Mutex
 	last Membership
 }
 
-func startEnroller(t *testing.T) *fixture {
+// startEnroller starts the first incarnation of an instance, after the functions have
+// prepared its store.
+func startEnroller(t *testing.T, prepare ...func(*lateStore)) *fixture {
+	t.Helper()
+	store := storeemulator.New(clockwork.NewRealClock())
+	r := &fixture{store: store, late: &lateStore{Store: store}}
+	for _, f := range prepare {
+		f(r.late)
+	}
+	return r.startIncarnation(t, "a1")
+}
+
+// startIncarnation starts an incarnation of the instance on the same store.
+func (r *fixture) startIncarnation(t *testing.T, incarnation string) *fixture {
 	t.Helper()
 	clock := clockwork.NewRealClock()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	r := &fixture{store: storeemulator.New(clock)}
-	r.e = New(Config{
-		Self: Member{ID: "a", Incarnation: "a1"}, Prefix: prefix, Store: r.store, Clock: clock, Logger: logger,
+	next := &fixture{store: r.store, late: r.late}
+	next.e = New(Config{
+		Self: Member{ID: "a", Incarnation: incarnation}, Prefix: prefix, Store: next.late, Clock: clock, Logger: logger,
+		Enrolled: func() { next.enrollments.Add(1) },
 		Changed: func(m Membership) {
-			r.mu.Lock()
-			defer r.mu.Unlock()
-			r.last = m
+			next.mu.Lock()
+			defer next.mu.Unlock()
+			next.last = m
 		},
 	})
-	r.e.ApplyEntries(follower.Snapshot{})
+	next.applyEntries(t)
 	ctx, cancel := context.WithCancel(context.Background())
-	ended := r.e.Start(ctx)
-	var once sync.Once
-	r.stop = func() {
-		once.Do(func() {
-			cancel()
-			assert.NilError(t, <-ended)
-		})
-	}
-	t.Cleanup(r.stop)
-	return r
+	next.cancel, next.ended = cancel, next.e.Start(ctx)
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-next.ended) // Nil after it was read once.
+	})
+	return next
+}
+
+func (r *fixture) stop(t *testing.T) {
+	t.Helper()
+	r.cancel()
+	assert.NilError(t, <-r.ended)
 }
 
-func awaitTerm(t *testing.T, r *fixture, term int, held bool) {
+func awaitTerm(t *testing.T, r *fixture, term int) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if n, h := r.e.Term(); n != term || h != held {
-			return poll.Continue("term %d, held %t", n, h)
+		if n, held := r.e.Term(); n != term || !held {
+			return poll.Continue("term %d, held %t", n, held)
 		}
 		return poll.Success()
 	}, poll.WithTimeout(10*time.Second), poll.WithDelay(10*time.Millisecond))
@@ -101,13 +121,13 @@
 // lease has expired.
 func TestTerm(t *testing.T) {
 	r := startEnroller(t)
-	awaitTerm(t, r, 1, true)
+	awaitTerm(t, r, 1)
 	t.Run("a new lease starts a new term", func(t *testing.T) {
 		r.store.ExpireLeases()
-		awaitTerm(t, r, 2, true)
+		awaitTerm(t, r, 2)
 	})
 	t.Run("the entry is removed when the instance stops", func(t *testing.T) {
-		r.stop()
+		r.stop(t)
 		_, err := r.store.Get(t.Context(), prefix+"a")
 		assert.ErrorIs(t, err, storer.ErrNotFound)
 	})
@@ -117,7 +137,7 @@
 // they are cut off from the store, and against ones that keep it after they have left.
 func TestMembership(t *testing.T) {
 	r := startEnroller(t)
-	awaitTerm(t, r, 1, true)
+	awaitTerm(t, r, 1)
 	r.putEntry(t, Member{ID: "b", Incarnation: "b1"})
 	r.putEntry(t, Member{ID: "c", Incarnation: "c1"})
 	assertMembership(t, r.applyEntries(t), 2, 0)
--- a/internal/jobkeeper/jobkeeper_test.go
+++ b/internal/jobkeeper/jobkeeper_test.go
@@ -145,6 +145,15 @@
 		assertResults(t, awaitResults(t, k, 1), StateCompleted, fullText)
 		assert.Equal(t, c.client.runsOfFirstItem(), 1)
 	})
+	t.Run("at an instance whose lease has ended", func(t *testing.T) {
+		c := newTestCluster()
+		k := c.startKeeper(t, "k1")
+		c.terms["k1"].set(1, false)
+		refusal := k.Submit(t.Context(), manifest("i1"))
+		assert.Assert(t, refusal != nil, "accepted a job that nobody takes over if the instance is lost")
+		assert.Equal(t, refusal.Outcome, refuser.NotRun)
+		assert.Assert(t, refusal.RetryAfter > 0)
+	})
 	t.Run("the store is down", func(t *testing.T) {
 		c := newTestCluster()
 		k := c.startKeeper(t, "k1")
@@ -262,7 +271,9 @@
 			})
 		}
 		awaitScans(1)
+		c.terms["k1"].set(1, true) // When the write was sent.
 		submit(t, k1, manifest("i1"))
+		c.terms["k1"].set(1, false)
 		k2.mu.Lock()
 		k2.departed["k1"].firstScanAt = time.Now().Add(-inDoubtPeriod)
 		k2.mu.Unlock()
--- a/internal/jobkeeper/keeper.go
+++ b/internal/jobkeeper/keeper.go
@@ -244,6 +244,12 @@
 	if k.isLeaving() {
 		return refuser.New(refuser.Draining, refuser.NotRun, "the instance is leaving")
 	}
+	if _, held := k.cfg.Terms.Term(); !held {
+		// Nobody would take the job over if this instance were lost now.
+		refusal := refuser.New(refuser.PlatformUnavailable, refuser.NotRun, "the instance is not enrolled")
+		refusal.RetryAfter = submitRetryAfter
+		return refusal
+	}
 	record := Record{
 		Owner:       k.cfg.Self.ID,
 		Incarnation: k.cfg.Self.Incarnation,
--- a/internal/jobkeeper/sweep.go
+++ b/internal/jobkeeper/sweep.go
@@ -58,6 +58,10 @@
 	}
 }
 
+// VerifyOwnership requests a scan of the records. It is called when a term begins:
+// other instances may have taken over jobs in the table before.
+func (k *Keeper) VerifyOwnership() { k.requestSweep() }
+
 func (k *Keeper) awaitSweep(ctx context.Context, period time.Duration) {
 	waiter.Pause(ctx, k.cfg.Clock, period, k.sweepRequests)
 	k.sleep(sweepDebounce)
