fix: the end of a job reaches the owner that the store names

Callers saw items of a job reach backend servers over 3 s after the end of the job was acknowledged, during one planned stop.

Cause: an instance that leaves, or that enrolled again, keeps jobs in its table that others have taken over. It took the table for the truth, told nobody of the end, and answered peers that it owned the job.

The owner is now read from the record after the end was stored, unless the ownership is confirmed in this term. A takeover expects the end as it was read, so no end falls between its reading and the new record. This costs one read for an end at an instance that does not own the job.

--- a/internal/jobkeeper/end.go
+++ b/internal/jobkeeper/end.go
@@ -56,21 +56,29 @@
 }
 
 // notifyOwner tells the owner of a job that it was ended. It reports whether no
-// further notification is needed.
+// further notification is needed. The end is in the store: an instance that becomes
+// the owner after the record was read here reads the end itself.
 func (k *Keeper) notifyOwner(ctx context.Context, id, workspace string) bool {
-	if _, owned := k.owned(id); owned {
+	if _, owned := k.owned(id); owned && k.confirmsOwnership() {
 		return true
 	}
-	response, refusal := k.askOwner(ctx, jobRequest{Operation: operationEnd, Job: id, Workspace: workspace})
-	return refusal == nil && response.Owned || k.isDone(id)
-}
-
-// isDone reports whether every item of a job is listed according to the cache.
-func (k *Keeper) isDone(id string) bool {
-	c := k.cache.get(id)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.record.Done
+	record, _, err := k.readRecord(ctx, id)
+	switch {
+	case errors.Is(err, storer.ErrNotFound):
+		return true // The job was removed.
+	case err != nil:
+		k.log(id).WithError(err).Warn("failed to read the owner of a job that was ended")
+		return false
+	case record.Done, record.Owner == k.cfg.Self.ID && record.Incarnation == k.cfg.Self.Incarnation:
+		return true // If this instance has not added the job to its table yet, it ends when it is added.
+	case record.Owner == k.cfg.Self.ID:
+		return false // Of an earlier incarnation: its next owner reads the end.
+	}
+	response, err := k.callOwner(ctx, record.Owner, jobRequest{Operation: operationEnd, Job: id, Workspace: workspace})
+	if err != nil {
+		k.log(id).WithError(err).WithField("owner", record.Owner).Info("failed to call the owner of the job")
+	}
+	return err == nil && response.Owned
 }
 
 func (k *Keeper) checkWorkspace(ctx context.Context, workspace, id string) *refuser.Refusal {
--- a/internal/jobkeeper/fixture_test.go
+++ b/internal/jobkeeper/fixture_test.go
@@ -363,3 +363,14 @@
 }
 
 const fullText = "t1\nt2\nt3"
+
+// A beforeCommit calls a function before each transaction.
+type beforeCommit struct {
+	Store
+	do func()
+}
+
+func (s beforeCommit) Commit(ctx context.Context, t storer.Transaction) (int64, error) {
+	s.do()
+	return s.Store.Commit(ctx, t)
+}
--- a/internal/jobkeeper/flusher.go
+++ b/internal/jobkeeper/flusher.go
@@ -246,8 +246,8 @@
 // resolveEnd reads whether the caller ended the job, after a conflict that the record
 // does not explain. The write certainly has no effect once the end is in the store.
 func (k *Keeper) resolveEnd(ctx context.Context, j *job, a *segmentAttempt) error {
-	ended, err := k.readEnd(ctx, j.manifest.Job)
-	if err != nil || !ended {
+	endVersion, err := k.readEnd(ctx, j.manifest.Job)
+	if err != nil || endVersion == 0 {
 		j.setDoubtful(a)
 		return errors.Join(err, merry.Prependf(storer.ErrConflict, "write segment %d", a.next.Segments))
 	}
--- a/internal/jobkeeper/query.go
+++ b/internal/jobkeeper/query.go
@@ -46,7 +46,9 @@
 
 // A jobResponse is the owner's answer.
 type jobResponse struct {
-	Owned bool   `cbor:"owned"` // The instance owns the job.
+	// Owned tells that the instance owns the job. If it only did so until its lease
+	// ended or it began to leave, it answers false, and the store tells the owner.
+	Owned bool   `cbor:"owned"`
 	Found bool   `cbor:"found"` // The job belongs to the workspace and, for a body, has the item.
 	View  View   `cbor:"view"`
 	Body  []byte `cbor:"body,omitempty"`
@@ -273,10 +275,8 @@
 	case owner == k.cfg.Self.ID:
 		return jobResponse{}, nil
 	}
-	var response jobResponse
-	callCtx, cancel := context.WithTimeout(ctx, q.Wait+ownerCallMargin)
-	defer cancel()
-	if err := k.cfg.Links.Call(callCtx, owner, linker.KindJob, q, &response); err != nil {
+	response, err := k.callOwner(ctx, owner, q)
+	if err != nil {
 		k.log(q.Job).WithError(err).WithField("owner", owner).Info("failed to call the owner of the job")
 		c.mu.Lock()
 		c.owner = ""
@@ -291,6 +291,13 @@
 	return response, nil
 }
 
+func (k *Keeper) callOwner(ctx context.Context, owner string, q jobRequest) (response jobResponse, err error) {
+	ctx, cancel := context.WithTimeout(ctx, q.Wait+ownerCallMargin)
+	defer cancel()
+	err = k.cfg.Links.Call(ctx, owner, linker.KindJob, q, &response)
+	return response, err
+}
+
 func (k *Keeper) handleJob(ctx context.Context, _ string, payload []byte) ([]byte, error) {
 	var q jobRequest
 	if err := linker.Unmarshal(payload, &q); err != nil {
@@ -298,6 +305,9 @@
 	}
 	j, ok := k.owned(q.Job)
 	if !ok {
+		if q.Operation == operationEnd {
+			k.markEnded(q.Job) // This instance may be taking the job over.
+		}
 		// The caller read that this instance owns the job: a write of this or of an
 		// earlier incarnation took effect late.
 		if k.isInDoubt(q.Job) || k.hasOldScan() {
@@ -318,6 +328,7 @@
 		response.Found = j.manifest.Workspace == q.Workspace
 		if response.Found {
 			k.endLocal(j)
+			response.Owned = k.confirmsOwnership()
 		}
 	}
 	return linker.Marshal(response)
--- a/internal/jobkeeper/records.go
+++ b/internal/jobkeeper/records.go
@@ -209,19 +209,20 @@
 	return m, cbor.Unmarshal(data, &m)
 }
 
-// readEnd reads from the store whether a job was ended by the caller.
-func (k *Keeper) readEnd(ctx context.Context, id string) (ended bool, err error) {
+// readEnd reads from the store whether a job was ended by the caller. It returns the
+// version of the end, or zero if the job was not ended.
+func (k *Keeper) readEnd(ctx context.Context, id string) (version int64, err error) {
 	defer func() { err = merry.Prependf(err, "read end of job %s", id) }()
 	entry, err := k.cfg.Store.Get(ctx, k.cfg.EndPrefix+id)
 	switch {
 	case err == nil:
 		k.log(id).WithField("version", entry.Version).Info("read that the caller ended the job")
 		k.markEnded(id)
-		return true, nil
+		return entry.Version, nil
 	case errors.Is(err, storer.ErrNotFound):
-		return false, nil
+		return 0, nil
 	}
-	return false, err
+	return 0, err
 }
 
 // readProgress reads the progress that the former owner saved, if any.
@@ -243,7 +244,8 @@
 	if err != nil {
 		return err
 	}
-	if _, err := k.readEnd(ctx, id); err != nil {
+	endVersion, err := k.readEnd(ctx, id)
+	if err != nil {
 		return err
 	}
 	saved, err := k.readProgress(ctx, id)
@@ -255,7 +257,11 @@
 		return err
 	}
 	former := r.Owner
-	expect := []storer.Precondition{{Key: k.key(recordKey(id)), Version: version}}
+	expect := []storer.Precondition{
+		{Key: k.key(recordKey(id)), Version: version},
+		// Whoever ends the job later reads the new owner from the record and notifies it.
+		{Key: k.cfg.EndPrefix + id, Version: endVersion},
+	}
 	if former != k.cfg.Self.ID {
 		ownerAbsent, err := k.absentOwnerPrecondition(ctx, r)
 		if err != nil {
