fix: waiting items follow their route to another service

Callers saw accepted items that never ended after their route was moved and the former servers had left, with idle servers at the new service.

Cause: the service of an item was chosen once, when it was queued. The queue of a service without servers stood still, and nothing looked at its items again, not even at their expiry.

At each change of the policy, and every second, items leave the queue of a service if their route was removed or leads elsewhere, if they have expired, or if the service has no servers while another one of the route has. They are queued again like new items.

--- a/internal/jobkeeper/queue.go
+++ b/internal/jobkeeper/queue.go
@@ -18,6 +18,10 @@
 // capacity again: this instance is not notified when work of others ends.
 const capacityPollInterval = 100 * time.Millisecond
 
+// recheckInterval is the time between two looks at all items that wait, for those that
+// have expired, and those whose service has no servers any more.
+const recheckInterval = time.Second
+
 // urgentWindow is the time before a job is due in which its items may use slots
 // that are otherwise reserved for online requests. An item runs for about seven
 // seconds.
@@ -49,6 +53,10 @@
 
 	mu          sync.Mutex
 	dispatching bool // dispatchLoop is running.
+
+	// The policy and the time of the last recheck. Only dispatchLoop uses them.
+	checkedTable *routefinder.Table
+	checkedAt    time.Time
 }
 
 func (s *queueSet) init(k *Keeper) {
@@ -83,7 +91,38 @@
 		k.cfg.Clock.AfterFunc(wait, func() { s.enqueue(t) })
 		return
 	}
-	s.forService(route.ChooseService()).push(t)
+	s.forService(k.chooseService(route)).push(t)
+}
+
+// chooseService chooses a service of a route by weight, unless that one has no servers
+// and another one has.
+func (k *Keeper) chooseService(route *routefinder.Route) string {
+	chosen := route.ChooseService()
+	if k.hasServers(chosen) {
+		return chosen
+	}
+	for _, target := range route.Targets {
+		if target.Weight > 0 && k.hasServers(target.Service) {
+			return target.Service
+		}
+	}
+	return chosen
+}
+
+func (k *Keeper) hasServers(service string) bool { return len(k.cfg.Placer.Versions(service)) > 0 }
+
+// mustLeave reports whether an item must not wait any longer in the queue of a service:
+// it has expired, its route was removed or leads elsewhere, or the service has no
+// servers while another one of the route has.
+func (k *Keeper) mustLeave(t *task, service string) bool {
+	route, known := k.currentRoute(t.job.manifest)
+	switch {
+	case !known:
+		return false
+	case route == nil || !k.now().Before(k.expiresAt(t.job.manifest, route)) || !route.LeadsTo(service):
+		return true
+	}
+	return !k.hasServers(service) && k.chooseService(route) != service
 }
 
 func (s *queueSet) forService(service string) *itemQueue {
@@ -168,6 +207,7 @@
 	ctx := k.runContext()
 	for ctx.Err() == nil {
 		capacityFreed := k.cfg.Placer.WaitCapacity(q.service)
+		q.recheck()
 		if q.placeNext(ctx) {
 			continue
 		}
@@ -179,6 +219,24 @@
 	q.clear()
 }
 
+// recheck queues again the items that must leave this queue, at each change of the
+// policy and every recheckInterval.
+func (q *itemQueue) recheck() {
+	k := q.keeper
+	table, now := k.cfg.Policies.Table(), k.now()
+	if table == q.checkedTable && now.Sub(q.checkedAt) < recheckInterval {
+		return
+	}
+	q.checkedTable, q.checkedAt = table, now
+	leaving := q.sequencer.Remove(func(item sequencer.Item) bool { return k.mustLeave(taskOf(item), q.service) })
+	for _, item := range leaving {
+		k.queues.enqueue(taskOf(item))
+	}
+	if len(leaving) > 0 {
+		k.cfg.Logger.WithFields(logrus.Fields{"service": q.service, "items": len(leaving)}).Info("items left the queue of a service: they expired, or their routes lead elsewhere")
+	}
+}
+
 // placeNext places the next item for which there is capacity. Items that have to go on
 // at a version whose servers are full do not hold up the others.
 func (q *itemQueue) placeNext(ctx context.Context) bool {
@@ -249,7 +307,7 @@
 func (q *itemQueue) runPlaced(ctx context.Context, t *task, placement *balancer.Placement) {
 	k := q.keeper
 	route, known := k.currentRoute(t.job.manifest)
-	if !known || route == nil {
+	if !known || route == nil || !route.LeadsTo(q.service) {
 		placement.Release(balancer.OutcomeCancelled)
 		k.queues.enqueue(t)
 		return
--- a/internal/routefinder/routefinder.go
+++ b/internal/routefinder/routefinder.go
@@ -72,6 +72,18 @@
 	return r.firstService()
 }
 
+// LeadsTo reports whether ChooseService may choose a service.
+func (r *Route) LeadsTo(service string) bool {
+	weighted := false
+	for _, t := range r.Targets {
+		if t.Weight > 0 && t.Service == service {
+			return true
+		}
+		weighted = weighted || t.Weight > 0
+	}
+	return !weighted && service == r.firstService()
+}
+
 func (r *Route) firstService() string {
 	if len(r.Targets) == 0 {
 		return ""
--- a/internal/routefinder/routefinder_test.go
+++ b/internal/routefinder/routefinder_test.go
@@ -78,6 +78,10 @@
 	for range 100 {
 		assert.Equal(t, r.ChooseService(), "b")
 	}
+	assert.Assert(t, r.LeadsTo("b") && !r.LeadsTo("a") && !r.LeadsTo("c"))
+	unweighted := Route{Targets: []Target{{Service: "a"}, {Service: "b"}}}
+	assert.Equal(t, unweighted.ChooseService(), "a")
+	assert.Assert(t, unweighted.LeadsTo("a") && !unweighted.LeadsTo("b"))
 	empty := Route{}
 	assert.Equal(t, empty.ChooseService(), "")
 }
--- a/internal/sequencer/sequencer.go
+++ b/internal/sequencer/sequencer.go
@@ -10,6 +10,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"sync"
 	"time"
 )
@@ -127,6 +128,25 @@
 	return len(s.timely) + len(s.doubtful) + s.late.Len()
 }
 
+// Remove removes the waiting items that match and returns them.
+func (s *Sequencer) Remove(match func(Item) bool) (removed []Item) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var kept []Item
+	for _, item := range slices.Concat(s.timely, s.doubtful, s.late.dueHeap) {
+		if match(item) {
+			removed = append(removed, item)
+		} else {
+			kept = append(kept, item)
+		}
+	}
+	if len(removed) > 0 {
+		s.timely, s.doubtful, s.late, s.neverRan = kept, nil, restHeap{}, 0 // Pop sorts them again.
+		heap.Init(&s.timely)
+	}
+	return removed
+}
+
 // Clear removes all items.
 func (s *Sequencer) Clear() {
 	s.mu.Lock()
--- a/internal/sequencer/sequencer_test.go
+++ b/internal/sequencer/sequencer_test.go
@@ -140,6 +140,23 @@
 	assert.Assert(t, inTime >= most*8/10, "%d of at most %d items are in time", inTime, most)
 }
 
+// TestRemove guards against items that are lost, or run in another order, when others
+// leave the queue.
+func TestRemove(t *testing.T) {
+	f := newFixture()
+	f.learnPace()
+	f.push("late", time.Millisecond, 0)
+	f.push("third", 5*runTime, 0)
+	f.push("gone", 3*runTime, 0)
+	f.push("second", 4*runTime, 0)
+	f.push("first", 2*runTime, 0)
+	f.assertNext(t, "first") // Sorts the late item out.
+	removed := f.Remove(func(item Item) bool { return item.Value == "gone" })
+	assert.Equal(t, len(removed), 1)
+	assert.Equal(t, f.Len(), 3)
+	f.assertNext(t, "second", "third", "late")
+}
+
 // BenchmarkPop shows what one decision costs beside the number of items that wait.
 func BenchmarkPop(b *testing.B) {
 	for _, waiting := range []int{100, 10_000, 100_000} {
