fix: an event that is not UTF-8 is no part of a result

Callers got 503 for each read of a finished job once its owner had stopped: one spoiled byte in one event had made the stored segment unreadable.

Cause: the data of events were stored unchecked, as CBOR text, which the encoder writes and the decoder refuses when it is not UTF-8. Messages between instances failed in the same way, also for header values.

An event that is not UTF-8 now ends the run as malformed, and the item goes on after the last valid event. Records and messages are decoded by internal/encoder, which accepts such text, so that what earlier builds stored or send can be read.

--- a/internal/archiver/handler.go
+++ b/internal/archiver/handler.go
@@ -6,7 +6,8 @@
 	"errors"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/fxamacker/cbor/v2"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/encoder"
 )
 
 // An object is the message that sends an object to a disk instance.
@@ -69,7 +70,7 @@
 		return nil, merry.New("this instance has no disk")
 	}
 	var o object
-	if err = cbor.Unmarshal(payload, &o); err != nil {
+	if err = encoder.Unmarshal(payload, &o); err != nil {
 		return nil, err
 	}
 	if err = o.check(); err != nil {
@@ -78,7 +79,7 @@
 	if err = h.Folder.Write(o.Name, o.Data); err != nil {
 		return nil, err
 	}
-	return cbor.Marshal(putResponse{})
+	return encoder.Marshal(putResponse{})
 }
 
 // A GetHandler reads objects for other instances. It handles messages of kind
@@ -91,21 +92,21 @@
 func (h *GetHandler) Handle(_ context.Context, sender string, payload []byte) (response []byte, err error) {
 	defer func() { err = merry.Prependf(err, "reading an object for %s", sender) }()
 	var request getRequest
-	if err = cbor.Unmarshal(payload, &request); err != nil {
+	if err = encoder.Unmarshal(payload, &request); err != nil {
 		return nil, err
 	}
 	if h.Folder == nil {
-		return cbor.Marshal(getResponse{})
+		return encoder.Marshal(getResponse{})
 	}
 	data, err := h.Folder.Read(request.Name)
 	switch {
 	case errors.Is(err, ErrNotFound):
-		return cbor.Marshal(getResponse{})
+		return encoder.Marshal(getResponse{})
 	case errors.Is(err, ErrCorrupt):
-		return cbor.Marshal(getResponse{Corrupt: true})
+		return encoder.Marshal(getResponse{Corrupt: true})
 	case err != nil:
 		return nil, err
 	}
 	o := newObject(request.Name, data)
-	return cbor.Marshal(getResponse{Found: true, Digest: o.Digest, Data: o.Data})
+	return encoder.Marshal(getResponse{Found: true, Digest: o.Digest, Data: o.Data})
 }
--- a/internal/batcher/item.go
+++ b/internal/batcher/item.go
@@ -5,7 +5,8 @@
 	"encoding/json"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/fxamacker/cbor/v2"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/encoder"
 )
 
 const (
@@ -85,11 +86,11 @@
 }
 
 func encodeItems(items []Item) (data []byte, err error) {
-	return cbor.Marshal(items)
+	return encoder.Marshal(items)
 }
 
 func decodeItems(data []byte, m Manifest) (items []Item, err error) {
-	if err = cbor.Unmarshal(data, &items); err != nil {
+	if err = encoder.Unmarshal(data, &items); err != nil {
 		return nil, merry.Prepend(err, "decoding the items of a chunk")
 	}
 	for i := range items {
@@ -107,7 +108,7 @@
 		if size < resultPartBytes && i < len(records)-1 {
 			continue
 		}
-		part, err := cbor.Marshal(records[first : i+1])
+		part, err := encoder.Marshal(records[first : i+1])
 		if err != nil {
 			return nil, merry.Prepend(err, "encoding results")
 		}
@@ -118,6 +119,6 @@
 }
 
 func decodeResults(data []byte) (records []ItemRecord, err error) {
-	err = cbor.Unmarshal(data, &records)
+	err = encoder.Unmarshal(data, &records)
 	return records, merry.Prepend(err, "decoding results")
 }
--- /dev/null
+++ b/internal/encoder/encoder.go
@@ -0,0 +1,23 @@
+// Package encoder encodes the records in the store and the messages between instances
+// as CBOR. Instances of two builds read each other's records and messages.
+package encoder
+
+import "github.com/fxamacker/cbor/v2"
+
+var decodeMode = newDecodeMode()
+
+// newDecodeMode accepts text that is not valid UTF-8: what a caller or a backend server
+// sent must not make the rest of a record unreadable.
+func newDecodeMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		panic(err) // The options are constant.
+	}
+	return mode
+}
+
+// Marshal encodes a record or a message.
+func Marshal(v any) ([]byte, error) { return cbor.Marshal(v) }
+
+// Unmarshal decodes a record or a message.
+func Unmarshal(data []byte, v any) error { return decodeMode.Unmarshal(data, v) }
--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -12,10 +12,10 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
+	"github.com/quetzalhitch/quetzalhitch/internal/encoder"
 	"github.com/quetzalhitch/quetzalhitch/internal/follower"
 	"github.com/quetzalhitch/quetzalhitch/internal/storer"
 	"github.com/quetzalhitch/quetzalhitch/internal/waiter"
@@ -302,7 +302,7 @@
 	return e.term, e.enrolled && e.lease.Live(e.cfg.Clock.Now())
 }
 
-func encode(m Member) ([]byte, error) { return cbor.Marshal(m) }
+func encode(m Member) ([]byte, error) { return encoder.Marshal(m) }
 
 // Leave announces to the other instances that this one is draining.
 func (e *Enroller) Leave() {
@@ -349,7 +349,7 @@
 	present := map[string]bool{}
 	for _, entry := range c.Entries {
 		var m Member
-		if err := cbor.Unmarshal(entry.Value, &m); err != nil || m.ID != strings.TrimPrefix(entry.Key, e.cfg.Prefix) {
+		if err := encoder.Unmarshal(entry.Value, &m); err != nil || m.ID != strings.TrimPrefix(entry.Key, e.cfg.Prefix) {
 			e.cfg.Logger.WithField("key", entry.Key).Warn("ignoring invalid instance entry")
 			continue
 		}
--- a/internal/jobkeeper/balance.go
+++ b/internal/jobkeeper/balance.go
@@ -9,11 +9,11 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
 	"github.com/quetzalhitch/quetzalhitch/internal/admitter"
+	"github.com/quetzalhitch/quetzalhitch/internal/encoder"
 	"github.com/quetzalhitch/quetzalhitch/internal/storer"
 )
 
@@ -79,7 +79,7 @@
 		}
 	}
 	balance.Waiting += tokens
-	value, err := cbor.Marshal(balance)
+	value, err := encoder.Marshal(balance)
 	if err != nil {
 		return t, err
 	}
@@ -113,7 +113,7 @@
 	if err != nil {
 		return b, 0, err
 	}
-	if err := cbor.Unmarshal(entry.Value, &b); err != nil {
+	if err := encoder.Unmarshal(entry.Value, &b); err != nil {
 		k.cfg.Logger.WithError(err).WithField("key", entry.Key).Warn("balance of waiting tokens cannot be read; counting again")
 		return admitter.Balance{}, entry.Version, nil
 	}
@@ -141,7 +141,7 @@
 			return c, errJobExists
 		}
 		var r Record
-		if err := cbor.Unmarshal(entry.Value, &r); err != nil {
+		if err := encoder.Unmarshal(entry.Value, &r); err != nil {
 			k.log(id).WithError(err).Warn("record of a job cannot be read")
 			continue
 		}
--- a/internal/jobkeeper/fixture_test.go
+++ b/internal/jobkeeper/fixture_test.go
@@ -80,6 +80,7 @@
 	answers map[string]*forwarder.Answer
 	resets  map[string]int // By item: number of runs that lose the connection before the first event.
 	cuts    map[string]int // By item: number of runs that lose the connection after the first event.
+	garbled map[string]int // By item: number of runs whose second event has a byte that is not UTF-8.
 	stall   chan struct{}  // If not nil, streams wait after their first event until it is closed.
 	runs    map[string]int
 	resumes []string // Event IDs after which runs were resumed.
@@ -97,6 +98,8 @@
 	c.resets[a.Request.ID]--
 	cut := c.cuts[a.Request.ID] > 0
 	c.cuts[a.Request.ID]--
+	garbled := c.garbled[a.Request.ID] > 0
+	c.garbled[a.Request.ID]--
 	stall := c.stall
 	c.mu.Unlock()
 	if hold != nil {
@@ -120,7 +123,7 @@
 		}
 		next = n + 1
 	}
-	return &forwarder.Answer{Outcome: forwarder.AnswerSucceeded, Status: 200, Stream: &itemStream{ctx: ctx, next: next, cut: cut, stall: stall, version: a.Backend.Version}}, nil
+	return &forwarder.Answer{Outcome: forwarder.AnswerSucceeded, Status: 200, Stream: &itemStream{ctx: ctx, next: next, cut: cut, garbled: garbled, stall: stall, version: a.Backend.Version}}, nil
 }
 
 func (c *fakeClient) runsOfFirstItem() int {
@@ -134,6 +137,8 @@
 	next  int
 	cut   bool
 	stall chan struct{}
+	// garbled streams have a byte in their second event that is not UTF-8.
+	garbled bool
 	// version is that of the server; what it writes ends with it.
 	version string
 }
@@ -154,6 +159,9 @@
 	}
 	id := strconv.Itoa(s.next)
 	s.next++
+	if s.garbled && id == "2" {
+		return forwarder.Event{ID: id, Raw: []byte("id: 2\ndata: t\xff\n\n")}, nil
+	}
 	return forwarder.Event{ID: id, Raw: []byte("id: " + id + "\ndata: t" + id + s.version + "\n\n")}, nil
 }
 
@@ -208,7 +216,7 @@
 		store:   storeemulator.New(clockwork.NewRealClock()),
 		network: &fakeNetwork{handlers: map[string]linker.Handler{}, cut: map[string]bool{}},
 		client: &fakeClient{
-			answers: map[string]*forwarder.Answer{}, resets: map[string]int{}, cuts: map[string]int{}, runs: map[string]int{},
+			answers: map[string]*forwarder.Answer{}, resets: map[string]int{}, cuts: map[string]int{}, garbled: map[string]int{}, runs: map[string]int{},
 		},
 		terms:   map[string]*fakeTerm{},
 		members: map[string]enroller.Member{},
--- a/internal/jobkeeper/flusher.go
+++ b/internal/jobkeeper/flusher.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/quetzalhitch/quetzalhitch/internal/encoder"
 	"github.com/quetzalhitch/quetzalhitch/internal/storer"
 	"github.com/quetzalhitch/quetzalhitch/internal/waiter"
 )
@@ -188,7 +188,7 @@
 	if len(saved) == 0 {
 		return nil
 	}
-	value, err := cbor.Marshal(saved)
+	value, err := encoder.Marshal(saved)
 	if err != nil {
 		return err
 	}
@@ -197,11 +197,11 @@
 }
 
 func (k *Keeper) segmentWrite(id string, results []Result, next Record, version int64) (t storer.Transaction, err error) {
-	segment, err := cbor.Marshal(results)
+	segment, err := encoder.Marshal(results)
 	if err != nil {
 		return t, err
 	}
-	record, err := cbor.Marshal(next)
+	record, err := encoder.Marshal(next)
 	if err != nil {
 		return t, err
 	}
--- a/internal/jobkeeper/records.go
+++ b/internal/jobkeeper/records.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/quetzalhitch/quetzalhitch/internal/encoder"
 	"github.com/quetzalhitch/quetzalhitch/internal/enroller"
 	"github.com/quetzalhitch/quetzalhitch/internal/storer"
 	"github.com/quetzalhitch/quetzalhitch/pkg/refuser"
@@ -37,7 +37,7 @@
 // precondition; a conflict then shows that the job exists.
 func (k *Keeper) create(ctx context.Context, m Manifest, r *Record) (created bool, version int64, err error) {
 	defer func() { err = merry.Prependf(err, "create job %s", m.Job) }()
-	manifest, err := cbor.Marshal(m)
+	manifest, err := encoder.Marshal(m)
 	if err != nil {
 		return false, 0, err
 	}
@@ -46,7 +46,7 @@
 		t.Writes = append(t.Writes, storer.Write{Key: k.key(manifestKey(m.Job, r.Parts)), Value: part})
 		r.Parts++
 	}
-	record, err := cbor.Marshal(*r)
+	record, err := encoder.Marshal(*r)
 	if err != nil {
 		return false, 0, err
 	}
@@ -154,7 +154,7 @@
 	if err != nil {
 		return Record{}, 0, err
 	}
-	return r, entry.Version, cbor.Unmarshal(entry.Value, &r)
+	return r, entry.Version, encoder.Unmarshal(entry.Value, &r)
 }
 
 // readResults reads the results of the segments from first up to, but not
@@ -171,7 +171,7 @@
 			return nil, merry.Errorf("segment %d is missing", n)
 		}
 		var segment []Result
-		if err := cbor.Unmarshal(value, &segment); err != nil {
+		if err := encoder.Unmarshal(value, &segment); err != nil {
 			return nil, err
 		}
 		results = append(results, segment...)
@@ -206,7 +206,7 @@
 		}
 		data = append(data, entry.Value...)
 	}
-	return m, cbor.Unmarshal(data, &m)
+	return m, encoder.Unmarshal(data, &m)
 }
 
 // readEnd reads from the store whether a job was ended by the caller. It returns the
@@ -225,7 +225,8 @@
 	return 0, err
 }
 
-// readProgress reads the progress that the former owner saved, if any.
+// readProgress reads the progress that the former owner saved, if any. Without it the
+// items begin again, so one that cannot be decoded is ignored.
 func (k *Keeper) readProgress(ctx context.Context, id string) (saved []Progress, err error) {
 	entry, err := k.cfg.Store.Get(ctx, k.key(progressKey(id)))
 	if errors.Is(err, storer.ErrNotFound) {
@@ -234,7 +235,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return saved, cbor.Unmarshal(entry.Value, &saved)
+	if err := encoder.Unmarshal(entry.Value, &saved); err != nil {
+		k.log(id).WithError(err).Warn("ignoring saved progress that cannot be decoded")
+		return nil, nil
+	}
+	return saved, nil
 }
 
 // takeOver makes this instance the owner of a job.
@@ -270,7 +275,7 @@
 		expect = append(expect, ownerAbsent)
 	}
 	r.Owner, r.Incarnation = k.cfg.Self.ID, k.cfg.Self.Incarnation
-	value, err := cbor.Marshal(r)
+	value, err := encoder.Marshal(r)
 	if err != nil {
 		return err
 	}
@@ -301,7 +306,7 @@
 		return storer.Precondition{}, err
 	}
 	var owner enroller.Member
-	if err := cbor.Unmarshal(entry.Value, &owner); err != nil {
+	if err := encoder.Unmarshal(entry.Value, &owner); err != nil {
 		return storer.Precondition{}, err
 	}
 	if !owner.Leaving {
--- a/internal/jobkeeper/sweep.go
+++ b/internal/jobkeeper/sweep.go
@@ -9,8 +9,8 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/cespare/xxhash/v2"
-	"github.com/fxamacker/cbor/v2"
 
+	"github.com/quetzalhitch/quetzalhitch/internal/encoder"
 	"github.com/quetzalhitch/quetzalhitch/internal/enroller"
 	"github.com/quetzalhitch/quetzalhitch/internal/storer"
 	"github.com/quetzalhitch/quetzalhitch/internal/waiter"
@@ -96,7 +96,7 @@
 	for _, entry := range listing.Entries {
 		id := strings.TrimPrefix(entry.Key, k.key("run/"))
 		var r Record
-		if err := cbor.Unmarshal(entry.Value, &r); err != nil {
+		if err := encoder.Unmarshal(entry.Value, &r); err != nil {
 			k.log(id).WithError(err).Warn("record of a job cannot be read")
 			continue
 		}
@@ -143,7 +143,7 @@
 			continue
 		}
 		var r Record
-		if err := cbor.Unmarshal(entry.Value, &r); err != nil {
+		if err := encoder.Unmarshal(entry.Value, &r); err != nil {
 			k.log(id).WithError(err).Warn("record of a job cannot be read")
 			continue
 		}
--- a/internal/jobkeeper/task.go
+++ b/internal/jobkeeper/task.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"github.com/sirupsen/logrus"
 	"go.opentelemetry.io/otel/attribute"
@@ -333,6 +334,9 @@
 		if err != nil {
 			return k.afterError(t, server.ID, err)
 		}
+		if !utf8.Valid(event.Raw) {
+			return outcome{retryDelay: itemRetryDelay, cause: "malformed"}, balancer.OutcomeLost // Events are UTF-8.
+		}
 		t.appendEvent(event, server.Version)
 	}
 }
--- a/internal/linker/codec.go
+++ b/internal/linker/codec.go
@@ -6,7 +6,8 @@
 	"io"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/fxamacker/cbor/v2"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/encoder"
 )
 
 // frameHeaderBytes is the size of the length prefix of a frame.
@@ -18,17 +19,17 @@
 
 // Marshal encodes a payload as CBOR.
 func Marshal(v any) ([]byte, error) {
-	return cbor.Marshal(v)
+	return encoder.Marshal(v)
 }
 
 // Unmarshal decodes a CBOR payload.
 func Unmarshal(data []byte, v any) error {
-	return cbor.Unmarshal(data, v)
+	return encoder.Unmarshal(data, v)
 }
 
 // encodeFrame encodes an envelope, preceded by its length.
 func encodeFrame(e Envelope) (frame []byte, err error) {
-	body, err := cbor.Marshal(e)
+	body, err := encoder.Marshal(e)
 	if err != nil {
 		return nil, err
 	}
@@ -64,7 +65,7 @@
 }
 
 func decodeEnvelope(body []byte) (e Envelope, n int, err error) {
-	if err := cbor.Unmarshal(body, &e); err != nil {
+	if err := encoder.Unmarshal(body, &e); err != nil {
 		return Envelope{}, 0, err
 	}
 	if e.Version != ProtocolVersion {
--- a/internal/publisher/messages.go
+++ b/internal/publisher/messages.go
@@ -4,8 +4,8 @@
 	"context"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/fxamacker/cbor/v2"
 
+	"github.com/quetzalhitch/quetzalhitch/internal/encoder"
 	"github.com/quetzalhitch/quetzalhitch/internal/linker"
 )
 
@@ -45,21 +45,21 @@
 
 func (p *Publisher) handleSnapshot(_ context.Context, sender string, payload []byte) (response []byte, err error) {
 	var request announcement
-	if err := cbor.Unmarshal(payload, &request); err != nil {
+	if err := encoder.Unmarshal(payload, &request); err != nil {
 		return nil, merry.Wrap(err)
 	}
 	p.ObserveRevision(sender, request.Revision)
-	return cbor.Marshal(confirmation{Revision: p.revision()})
+	return encoder.Marshal(confirmation{Revision: p.revision()})
 }
 
 func (p *Publisher) handleSnapshotRequest(_ context.Context, _ string, payload []byte) (response []byte, err error) {
 	var request snapshotRequest
-	if err := cbor.Unmarshal(payload, &request); err != nil {
+	if err := encoder.Unmarshal(payload, &request); err != nil {
 		return nil, merry.Wrap(err)
 	}
 	var answer snapshotResponse
 	if current := p.current.Load(); current != nil && current.Revision > request.AboveRevision {
 		answer = snapshotResponse{Key: current.key, Data: current.data}
 	}
-	return cbor.Marshal(answer)
+	return encoder.Marshal(answer)
 }
--- a/internal/quarantiner/parts.go
+++ b/internal/quarantiner/parts.go
@@ -10,9 +10,9 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/quetzalhitch/quetzalhitch/internal/encoder"
 	"github.com/quetzalhitch/quetzalhitch/internal/follower"
 	"github.com/quetzalhitch/quetzalhitch/internal/retrier"
 	"github.com/quetzalhitch/quetzalhitch/internal/storer"
@@ -162,7 +162,7 @@
 	}
 	copy(q.Part[:], digest)
 	var value storedQuarantine
-	if err := cbor.Unmarshal(e.Value, &value); err != nil {
+	if err := encoder.Unmarshal(e.Value, &value); err != nil {
 		return q, err
 	}
 	q.Crashes = value.Crashes
@@ -187,7 +187,7 @@
 	if err != nil {
 		return err
 	}
-	value, err := cbor.Marshal(storedQuarantine{Crashes: q.Crashes})
+	value, err := encoder.Marshal(storedQuarantine{Crashes: q.Crashes})
 	if err != nil {
 		return err
 	}
--- a/internal/resumer/stored.go
+++ b/internal/resumer/stored.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/quetzalhitch/quetzalhitch/internal/encoder"
 	"github.com/quetzalhitch/quetzalhitch/internal/storer"
 	"github.com/quetzalhitch/quetzalhitch/internal/waiter"
 )
@@ -54,7 +54,7 @@
 	var origins []Origin
 	for _, e := range listing.Entries {
 		var s Origin
-		if err := cbor.Unmarshal(e.Value, &s); err != nil {
+		if err := encoder.Unmarshal(e.Value, &s); err != nil {
 			r.cfg.Logger.WithError(err).WithField("key", e.Key).Warn("ignoring invalid version entry")
 			continue
 		}
@@ -92,7 +92,7 @@
 	defer func() { err = merry.Prependf(err, "store version %s of %s", s.Version, s.Service) }()
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	value, err := cbor.Marshal(s)
+	value, err := encoder.Marshal(s)
 	if err != nil {
 		return err
 	}
