fix: items are not given up before their job has expired

Callers read items as dead-lettered before max_wait_s was over, in jobs that another instance had taken over (MIXED).

Cause, first of several: the encoder kept whole seconds, so the stored time of submission was up to a second too early at each instance but the one that accepted the job; and it was compared with the clock of another instance without an allowance. A job that was taken over expires maxClockError later.

--- a/internal/jobkeeper/job.go
+++ b/internal/jobkeeper/job.go
@@ -99,7 +99,8 @@
 
 // A job is a job that this instance owns. mu guards the fields below it.
 type job struct {
-	manifest Manifest
+	manifest  Manifest
+	takenOver bool // It was not accepted by this process.
 
 	mu           sync.Mutex
 	record       Record
--- a/internal/jobkeeper/queue.go
+++ b/internal/jobkeeper/queue.go
@@ -22,6 +22,11 @@
 // have expired, and those whose service has no servers any more.
 const recheckInterval = time.Second
 
+// maxClockError is the most by which the times of day of two instances may differ, each
+// of them by a step of 2.5 s. It also covers the fraction of a second by which earlier
+// builds store the time of submission too early.
+const maxClockError = 6 * time.Second
+
 // urgentWindow is the time before a job is due in which its items may use slots
 // that are otherwise reserved for online requests. An item runs for about seven
 // seconds.
@@ -76,7 +81,7 @@
 	case !ok:
 		k.cfg.Clock.AfterFunc(itemRetryDelay, func() { s.enqueue(t) }) // No policy is known yet.
 		return
-	case route == nil || !k.now().Before(k.expiresAt(t.job.manifest, route)):
+	case route == nil || k.hasExpired(t.job, route):
 		k.log(t.job.manifest.Job).WithField("item", t.item.ID).Warn("item dead-lettered: it expired or its batch route was removed")
 		k.recordResult(t, StateDeadLettered, "")
 		return
@@ -119,7 +124,7 @@
 	switch {
 	case !known:
 		return false
-	case route == nil || !k.now().Before(k.expiresAt(t.job.manifest, route)) || !route.LeadsTo(service):
+	case route == nil || k.hasExpired(t.job, route) || !route.LeadsTo(service):
 		return true
 	}
 	return !k.hasServers(service) && k.chooseService(route) != service
@@ -150,8 +155,14 @@
 	return route, true
 }
 
-func (k *Keeper) expiresAt(m Manifest, route *routefinder.Route) time.Time {
-	return m.SubmittedAt.Add(route.MaxWait)
+// hasExpired reports whether the items of a job may be given up. The time of submission
+// of a job that was taken over is by the clock of another process.
+func (k *Keeper) hasExpired(j *job, route *routefinder.Route) bool {
+	expiresAt := j.manifest.SubmittedAt.Add(route.MaxWait)
+	if j.takenOver {
+		expiresAt = expiresAt.Add(maxClockError)
+	}
+	return !k.now().Before(expiresAt)
 }
 
 // dueAt returns when the results of a job are due, if its route exists.
