fix: only failures and final rejections of servers give an item up

Callers read items as dead-lettered (MIXED) that had failed once, or had been rejected in a way that does not say that they can never be done.

Cause, second of several: each failed answer was counted, a timeout of the server too, and the first internal server error after that gave the item up; each status from 300 to 499 counted as a final rejection. The protocol counts internal server errors as failed attempts, and names 422 only as final. Other answers now say nothing about the item; its runs become rarer until one brings an event, and it expires if none does.

--- a/internal/jobkeeper/fixture_test.go
+++ b/internal/jobkeeper/fixture_test.go
@@ -78,10 +78,11 @@
 	mu      sync.Mutex
 	hold    chan struct{} // If not nil, items wait until it is closed.
 	answers map[string]*forwarder.Answer
-	resets  map[string]int // By item: number of runs that lose the connection before the first event.
-	cuts    map[string]int // By item: number of runs that lose the connection after the first event.
-	garbled map[string]int // By item: number of runs whose second event has a byte that is not UTF-8.
-	stall   chan struct{}  // If not nil, streams wait after their first event until it is closed.
+	queued  []*forwarder.Answer // Answers to the first runs of any item.
+	resets  map[string]int      // By item: number of runs that lose the connection before the first event.
+	cuts    map[string]int      // By item: number of runs that lose the connection after the first event.
+	garbled map[string]int      // By item: number of runs whose second event has a byte that is not UTF-8.
+	stall   chan struct{}       // If not nil, streams wait after their first event until it is closed.
 	runs    map[string]int
 	resumes []string // Event IDs after which runs were resumed.
 }
@@ -94,6 +95,9 @@
 		c.resumes = append(c.resumes, a.LastEventID)
 	}
 	answer := c.answers[a.Request.ID]
+	if len(c.queued) > 0 {
+		answer, c.queued = c.queued[0], c.queued[1:]
+	}
 	reset := c.resets[a.Request.ID] > 0
 	c.resets[a.Request.ID]--
 	cut := c.cuts[a.Request.ID] > 0
--- a/internal/jobkeeper/jobkeeper_test.go
+++ b/internal/jobkeeper/jobkeeper_test.go
@@ -53,6 +53,35 @@
 	})
 }
 
+// TestUnexpectedAnswers guards against items that are given up after answers that do not
+// say that they failed or can never be done.
+func TestUnexpectedAnswers(t *testing.T) {
+	start := func(t *testing.T, outcome forwarder.AnswerOutcome, statuses ...int) (*testCluster, *Keeper) {
+		t.Helper()
+		c := newTestCluster()
+		for _, status := range statuses {
+			c.client.queued = append(c.client.queued, &forwarder.Answer{Outcome: outcome, Status: status})
+		}
+		k := c.startKeeper(t, "k1")
+		submit(t, k, manifest("i1"))
+		return c, k
+	}
+	t.Run("timeouts of servers and one failure", func(t *testing.T) {
+		_, k := start(t, forwarder.AnswerFailed, 504, 504, 500)
+		assertResults(t, awaitResults(t, k, 1), StateCompleted, fullText)
+	})
+	t.Run("rejections that do not say that the item can never be done", func(t *testing.T) {
+		_, k := start(t, forwarder.AnswerRejected, 400, 404)
+		assertResults(t, awaitResults(t, k, 1), StateCompleted, fullText)
+	})
+	t.Run("they make the runs rarer", func(t *testing.T) {
+		c, _ := start(t, forwarder.AnswerRejected, 404, 404, 404, 404, 404)
+		c.awaitRuns(t, 3)
+		time.Sleep(backoff(2) / 2)
+		assert.Equal(t, c.client.runsOfFirstItem(), 3)
+	})
+}
+
 // TestLosses guards against sound items that are given up after three faulty servers
 // reset their connections or crashed, and against items that run without a pause while
 // server after server crashes.
@@ -91,7 +120,7 @@
 		c.awaitRuns(t, freeCrashes+2)
 		time.Sleep(crashDelay(freeCrashes+2) / 2)
 		assert.Equal(t, c.client.runsOfFirstItem(), freeCrashes+2)
-		assert.Equal(t, crashDelay(100), maxCrashDelay)
+		assert.Equal(t, crashDelay(100), maxRunDelay)
 	})
 }
 
--- a/internal/jobkeeper/task.go
+++ b/internal/jobkeeper/task.go
@@ -37,8 +37,9 @@
 	// freeCrashes is the number of servers that may crash under an item before its runs
 	// become rarer. The item is still owed: the crashes may have had other causes.
 	freeCrashes = 2
-	// maxCrashDelay is the longest delay of a run after servers crashed under the item.
-	maxCrashDelay = 8 * time.Second
+	// maxRunDelay is the longest delay of a run after servers crashed under the item, or
+	// answered in a way that says nothing about it.
+	maxRunDelay = 8 * time.Second
 	// verdictInterval is the time between two looks at the verdicts of an item that
 	// waits for them.
 	verdictInterval = 500 * time.Millisecond
@@ -58,8 +59,11 @@
 	events   int
 	after    string  // ID of the last event.
 	version  *string // Version of the servers that wrote the text; nil before the first event.
-	failures int     // Responses that report a failure of the item.
-	losses   []loss  // Servers that it may have crashed.
+	failures int     // Failed attempts: internal server errors.
+	// unexpected counts the other answers that are no result. They say nothing about the
+	// item, but make its runs rarer.
+	unexpected int
+	losses     []loss // Servers that it may have crashed.
 	// blockedSince is when the item was first passed over because the servers of its
 	// version had no capacity; zero if it was placed since.
 	blockedSince time.Time
@@ -108,10 +112,13 @@
 }
 
 // crashDelay returns the time from the last of several crashes to the next run.
-func crashDelay(crashes int) time.Duration {
+func crashDelay(crashes int) time.Duration { return backoff(crashes - freeCrashes) }
+
+// backoff returns the delay before the next run, which doubles up to maxRunDelay.
+func backoff(doublings int) time.Duration {
 	d := itemRetryDelay
-	for range crashes - freeCrashes {
-		d = min(2*d, maxCrashDelay)
+	for range doublings {
+		d = min(2*d, maxRunDelay)
 	}
 	return d
 }
@@ -224,6 +231,7 @@
 	}
 	t.text.Write(sender.EventData(event.Raw))
 	t.events++
+	t.unexpected = 0
 	t.after = event.ID
 	t.version = &version
 }
@@ -271,13 +279,13 @@
 	}
 	switch answer.Outcome {
 	case forwarder.AnswerRejected:
-		return outcome{state: StateDeadLettered, cause: "rejected"}, balancer.OutcomeDone
+		return t.afterRejection(answer), balancer.OutcomeDone
 	case forwarder.AnswerMisdirected:
 		return outcome{cause: "misdirected"}, balancer.OutcomeMisdirected
 	case forwarder.AnswerNotRun:
 		return outcome{cause: "server-full"}, balancer.OutcomeFull
 	case forwarder.AnswerFailed:
-		return k.afterFailure(t, route, answer), balancer.OutcomeDone // More often the fault of the item than of the backend server.
+		return t.afterFailure(route, answer), balancer.OutcomeDone // More often the fault of the item than of the backend server.
 	}
 	if answer.Stream == nil {
 		return outcome{retryDelay: itemRetryDelay, cause: "no-stream"}, balancer.OutcomeDone
@@ -286,17 +294,40 @@
 	return k.readEvents(t, placement.Backend, answer.Stream)
 }
 
-func (k *Keeper) afterFailure(t *task, route *routefinder.Route, answer *forwarder.Answer) outcome {
+// afterRejection gives the item up if the server says that it can never be done. Other
+// rejections do not say so.
+func (t *task) afterRejection(answer *forwarder.Answer) outcome {
+	if answer.Status == statusUnprocessable {
+		return outcome{state: StateDeadLettered, cause: "rejected"}
+	}
+	return outcome{retryDelay: t.recordUnexpected(), cause: "rejected"}
+}
+
+// afterFailure gives the item up after as many failed attempts as the route allows. Only
+// an internal server error is one; a timeout of the server, for example, is not.
+func (t *task) afterFailure(route *routefinder.Route, answer *forwarder.Answer) outcome {
+	if answer.Status != statusInternalServerError {
+		return outcome{retryDelay: t.recordUnexpected(), cause: "server-failed"}
+	}
 	t.failures++
-	if answer.Status == statusInternalServerError && t.failures >= max(route.MaxAttempts, 1) {
+	if t.failures >= max(route.MaxAttempts, 1) {
 		return outcome{state: StateDeadLettered, cause: "failed"}
 	}
 	return outcome{retryDelay: itemRetryDelay, cause: "server-failed"}
 }
 
-// statusInternalServerError is the status with which a backend server reports that
-// an item failed.
-const statusInternalServerError = 500
+// recordUnexpected records an answer that neither completes the item nor counts as a
+// failed attempt, and returns the delay before the next run.
+func (t *task) recordUnexpected() time.Duration {
+	t.unexpected++
+	return backoff(t.unexpected - 1)
+}
+
+// Statuses with which a backend server reports on an item.
+const (
+	statusUnprocessable       = 422 // It can never be done.
+	statusInternalServerError = 500 // It failed.
+)
 
 func (k *Keeper) afterError(t *task, server string, err error) (outcome, balancer.Outcome) {
 	var failure *sender.Failure
