fix: a later or earlier policy does not give items up sooner

Callers could read items as dead-lettered (MIXED) at an instance whose policy was older than the job and lacked its route, and after a change that shortened the wait or the attempts of the route.

A job now stores the version of the policy, the wait and the attempts with which it was accepted. A route that a policy from before lacks is not known yet, and the larger limits hold. Jobs of earlier builds have no such values and are treated as before; earlier builds ignore them.

--- a/internal/jobkeeper/job.go
+++ b/internal/jobkeeper/job.go
@@ -36,12 +36,22 @@
 
 // A Manifest is a job as it was submitted. It is immutable.
 type Manifest struct {
-	Job         string    `cbor:"job"`
-	Workspace   string    `cbor:"workspace"`
-	Route       string    `cbor:"route"`
-	Host        string    `cbor:"host"`
-	SubmittedAt time.Time `cbor:"submitted-at"`
-	Items       []Item    `cbor:"items"`
+	Job         string     `cbor:"job"`
+	Workspace   string     `cbor:"workspace"`
+	Route       string     `cbor:"route"`
+	Host        string     `cbor:"host"`
+	SubmittedAt time.Time  `cbor:"submitted-at"`
+	Items       []Item     `cbor:"items"`
+	Guarantees  Guarantees `cbor:"guarantees"`
+}
+
+// Guarantees hold for the items of a job whatever later policies say. They come from the
+// policy that was in force when the job was accepted, and are zero in jobs that earlier
+// builds accepted.
+type Guarantees struct {
+	PolicyVersion int64         `cbor:"policy-version"`
+	MaxWait       time.Duration `cbor:"max-wait"`     // No item is given up as expired before.
+	MaxAttempts   int           `cbor:"max-attempts"` // No item is given up after fewer failed attempts.
 }
 
 // A Record holds the owner and the state of a job.
--- a/internal/jobkeeper/keeper.go
+++ b/internal/jobkeeper/keeper.go
@@ -250,6 +250,7 @@
 		refusal.RetryAfter = submitRetryAfter
 		return refusal
 	}
+	m.Guarantees = k.currentGuarantees(m)
 	record := Record{
 		Owner:       k.cfg.Self.ID,
 		Incarnation: k.cfg.Self.Incarnation,
--- a/internal/jobkeeper/queue.go
+++ b/internal/jobkeeper/queue.go
@@ -142,7 +142,8 @@
 }
 
 // currentRoute returns the route of a job in the current policy, or nil if it was
-// removed. known is false before the first policy.
+// removed. known is false before the first policy, and as long as this instance has a
+// policy from before the job was accepted.
 func (k *Keeper) currentRoute(m Manifest) (route *routefinder.Route, known bool) {
 	table := k.cfg.Policies.Table()
 	if table == nil {
@@ -150,15 +151,24 @@
 	}
 	route, ok := table.RouteByName(m.Route)
 	if !ok || route.Kind != routefinder.KindBatch {
-		return nil, true
+		return nil, table.Policy.Version >= m.Guarantees.PolicyVersion
 	}
 	return route, true
 }
 
+// currentGuarantees returns the guarantees of a job that is accepted now.
+func (k *Keeper) currentGuarantees(m Manifest) Guarantees {
+	route, known := k.currentRoute(m)
+	if !known || route == nil {
+		return Guarantees{}
+	}
+	return Guarantees{PolicyVersion: k.cfg.Policies.Table().Policy.Version, MaxWait: route.MaxWait, MaxAttempts: route.MaxAttempts}
+}
+
 // hasExpired reports whether the items of a job may be given up. The time of submission
 // of a job that was taken over is by the clock of another process.
 func (k *Keeper) hasExpired(j *job, route *routefinder.Route) bool {
-	expiresAt := j.manifest.SubmittedAt.Add(route.MaxWait)
+	expiresAt := j.manifest.SubmittedAt.Add(max(route.MaxWait, j.manifest.Guarantees.MaxWait))
 	if j.takenOver {
 		expiresAt = expiresAt.Add(maxClockError)
 	}
--- a/internal/jobkeeper/task.go
+++ b/internal/jobkeeper/task.go
@@ -310,7 +310,7 @@
 		return outcome{retryDelay: t.recordUnexpected(), cause: "server-failed"}
 	}
 	t.failures++
-	if t.failures >= max(route.MaxAttempts, 1) {
+	if t.failures >= max(route.MaxAttempts, t.job.manifest.Guarantees.MaxAttempts, 1) {
 		return outcome{state: StateDeadLettered, cause: "failed"}
 	}
 	return outcome{retryDelay: itemRetryDelay, cause: "server-failed"}
