fix: failed attempts of an item count for its next owner

Cause: each owner counted the failed attempts anew. They are part of the saved progress now, which is also written when only they are new. Earlier builds ignore them.

--- a/internal/jobkeeper/fixture_test.go
+++ b/internal/jobkeeper/fixture_test.go
@@ -345,7 +345,7 @@
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		j.mu.Lock()
 		defer j.mu.Unlock()
-		if _, events := j.progress(); events != 1 {
+		if events := j.checkpoint().events; events != 1 {
 			return poll.Continue("%d events instead of 1", events)
 		}
 		return poll.Success()
--- a/internal/jobkeeper/flusher.go
+++ b/internal/jobkeeper/flusher.go
@@ -111,8 +111,8 @@
 type segmentAttempt struct {
 	transaction storer.Transaction
 	results     []Result
-	next        Record // The record that the transaction writes.
-	events      int    // Events in the progress that the transaction writes.
+	next        Record     // The record that the transaction writes.
+	checkpoint  checkpoint // The progress that the transaction writes.
 }
 
 // flush writes the pending results as one segment, or repeats the write whose effect
@@ -144,7 +144,7 @@
 	j.mu.Lock()
 	doubtful, version := j.doubtful, j.version
 	a := &segmentAttempt{results: firstResults(j.pending), next: j.record}
-	saved, events := j.progress()
+	a.checkpoint = j.checkpoint()
 	ended := j.ended
 	j.mu.Unlock()
 	if doubtful != nil {
@@ -153,7 +153,6 @@
 	if len(a.results) == 0 || ended {
 		return nil, nil
 	}
-	a.events = events
 	a.next.Segments++
 	a.next.Listed += len(a.results)
 	a.next.Done = a.next.Listed == a.next.Total
@@ -163,7 +162,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return a, k.appendProgressWrite(&a.transaction, j.manifest.Job, saved, a.next.Done)
+	return a, k.appendProgressWrite(&a.transaction, j.manifest.Job, a.checkpoint.saved, a.next.Done)
 }
 
 // firstResults returns as many of the pending results as fit into one value.
@@ -262,7 +261,7 @@
 	defer j.mu.Unlock()
 	j.doubtful = nil
 	j.record, j.version = a.next, version
-	j.savedEvents = a.events
+	j.savedEvents, j.savedFailures = a.checkpoint.events, a.checkpoint.failures
 	j.listed = append(j.listed, a.results...)
 	j.pending = j.pending[len(a.results):]
 	j.pendingSince = k.now()
--- a/internal/jobkeeper/job.go
+++ b/internal/jobkeeper/job.go
@@ -77,8 +77,11 @@
 	After  string `cbor:"after"` // ID of the last event.
 	Events int    `cbor:"events"`
 	Text   string `cbor:"text"`
-	// Version is that of the servers that wrote the text. Earlier builds do not tell.
+	// Version is that of the servers that wrote the text; nil if there is none. Earlier
+	// builds restore no item without it.
 	Version *string `cbor:"version,omitempty"`
+	// Failures are the failed attempts so far. Earlier builds neither save nor read them.
+	Failures int `cbor:"failures,omitempty"`
 }
 
 // A Result is the final state of an item and its text.
@@ -125,7 +128,9 @@
 	doubtful     *segmentAttempt // The write of results whose effect is unknown, if any.
 	flushing     bool            // A write of results is in progress.
 	savedEvents  int             // Events in the last saved progress.
-	changed      chan struct{}   // Closed at the next change that readers can see.
+	// savedFailures are the failed attempts in the last saved progress.
+	savedFailures int
+	changed       chan struct{} // Closed at the next change that readers can see.
 }
 
 func newJob(m Manifest, r Record, version int64, listed []Result) *job {
@@ -147,7 +152,13 @@
 // restoreProgress applies the progress that a former owner saved.
 func (j *job) restoreProgress(saved []Progress) {
 	for _, p := range saved {
-		if t, ok := j.unfinished[p.Item]; ok && p.Version != nil {
+		t, ok := j.unfinished[p.Item]
+		if !ok {
+			continue
+		}
+		t.failures = p.Failures
+		j.savedFailures += p.Failures
+		if p.Version != nil {
 			t.after, t.events, t.version = p.After, p.Events, p.Version
 			t.text.WriteString(p.Text)
 			j.savedEvents += p.Events
@@ -155,21 +166,32 @@
 	}
 }
 
-// progress returns the progress of the unfinished items, up to maxValueBytes of
-// text, and the number of their events. The caller holds j.mu.
-func (j *job) progress() (saved []Progress, events int) {
+// A checkpoint is the progress of the unfinished items of a job.
+type checkpoint struct {
+	saved    []Progress
+	events   int // Of all these items.
+	failures int // Of all these items.
+}
+
+// checkpoint returns the progress of the unfinished items, up to maxValueBytes of text.
+// The caller holds j.mu.
+func (j *job) checkpoint() (c checkpoint) {
 	size := 0
 	for id, t := range j.unfinished {
 		p := t.progress()
 		size += len(p.Text)
-		if p.Events == 0 || size > maxValueBytes {
+		if size > maxValueBytes {
+			p = Progress{Failures: p.Failures}
+		}
+		if p.Events == 0 && p.Failures == 0 {
 			continue
 		}
 		p.Item = id
-		saved = append(saved, p)
-		events += p.Events
+		c.saved = append(c.saved, p)
+		c.events += p.Events
+		c.failures += p.Failures
 	}
-	return saved, events
+	return c
 }
 
 // setDoubtful records that the effect of a write is unknown; nil means that no write
--- a/internal/jobkeeper/progress.go
+++ b/internal/jobkeeper/progress.go
@@ -33,14 +33,15 @@
 	}
 }
 
-// save writes the progress of a job if it has at least minEvents new events.
+// save writes the progress of a job if it has at least minEvents new events or a new
+// failed attempt.
 func (k *Keeper) save(ctx context.Context, j *job, minEvents int) (err error) {
 	defer func() { err = merry.Prepend(err, "save progress") }()
 	j.mu.Lock()
 	version := j.version
 	skip := j.ended || j.record.Done || len(j.pending) > 0 // A write of results saves the progress too.
-	saved, events := j.progress()
-	skip = skip || events-j.savedEvents < minEvents
+	c := j.checkpoint()
+	skip = skip || c.events-j.savedEvents < minEvents && c.failures <= j.savedFailures
 	j.mu.Unlock()
 	if skip {
 		return nil
@@ -50,7 +51,7 @@
 		{Key: k.key(recordKey(id)), Version: version},
 		{Key: k.cfg.EndPrefix + id},
 	}}
-	if err := k.appendProgressWrite(&t, id, saved, false); err != nil {
+	if err := k.appendProgressWrite(&t, id, c.saved, false); err != nil {
 		return err
 	}
 	_, err = k.cfg.Store.Commit(ctx, t)
@@ -62,7 +63,7 @@
 		return err
 	}
 	j.mu.Lock()
-	j.savedEvents = events
+	j.savedEvents, j.savedFailures = c.events, c.failures
 	j.mu.Unlock()
 	return nil
 }
--- a/internal/jobkeeper/task.go
+++ b/internal/jobkeeper/task.go
@@ -180,7 +180,7 @@
 func (t *task) progress() Progress {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return Progress{After: t.after, Events: t.events, Text: t.text.String(), Version: t.version}
+	return Progress{After: t.after, Events: t.events, Text: t.text.String(), Version: t.version, Failures: t.failures}
 }
 
 // bind prepares the item for a run at a server of a version. What servers of another
@@ -309,13 +309,20 @@
 	if answer.Status != statusInternalServerError {
 		return outcome{retryDelay: t.recordUnexpected(), cause: "server-failed"}
 	}
-	t.failures++
-	if t.failures >= max(route.MaxAttempts, t.job.manifest.Guarantees.MaxAttempts, 1) {
+	if t.recordFailure() >= max(route.MaxAttempts, t.job.manifest.Guarantees.MaxAttempts, 1) {
 		return outcome{state: StateDeadLettered, cause: "failed"}
 	}
 	return outcome{retryDelay: itemRetryDelay, cause: "server-failed"}
 }
 
+// recordFailure counts a failed attempt and returns their number.
+func (t *task) recordFailure() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.failures++
+	return t.failures
+}
+
 // recordUnexpected records an answer that neither completes the item nor counts as a
 // failed attempt, and returns the delay before the next run.
 func (t *task) recordUnexpected() time.Duration {
