fix: an answer without end does not hold up the results of a job

The text grew until the run timed out; the result did not fit into a value of the store, which refused it at each attempt, and later results waited behind it.

An answer that has more events than its item may have tokens, or more text than a value holds, is malformed now. Its events are dropped, and the item begins again: it cannot be told where the false events began.

--- a/internal/jobkeeper/task.go
+++ b/internal/jobkeeper/task.go
@@ -193,10 +193,7 @@
 	if t.version == nil || *t.version == version {
 		return 0
 	}
-	dropped = t.events
-	t.text.Reset()
-	t.events, t.after, t.version = 0, "", nil
-	return dropped
+	return t.discardLocked()
 }
 
 // boundVersion returns the version that the item has to go on at; nil if it may run at
@@ -236,6 +233,29 @@
 	t.version = &version
 }
 
+// isOversized reports whether the text cannot be an answer to the item: it has more
+// events than the item may have tokens, or does not fit into a value of the store.
+func (t *task) isOversized() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.text.Len() > maxValueBytes || t.item.Tokens > 0 && int64(t.events) > t.item.Tokens
+}
+
+// discard drops the events so far and returns their number.
+func (t *task) discard() (dropped int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.discardLocked()
+}
+
+// discardLocked is discard for callers that hold t.mu.
+func (t *task) discardLocked() (dropped int) {
+	dropped = t.events
+	t.text.Reset()
+	t.events, t.after, t.version = 0, "", nil
+	return dropped
+}
+
 func (t *task) begin(cancel context.CancelFunc) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -376,6 +396,11 @@
 			return outcome{retryDelay: itemRetryDelay, cause: "malformed"}, balancer.OutcomeLost // Events are UTF-8.
 		}
 		t.appendEvent(event, server.Version)
+		if t.isOversized() {
+			k.log(t.job.manifest.Job).WithFields(logrus.Fields{"item": t.item.ID, reporter.FieldBackendServer: server.ID, "dropped-events": t.discard()}).
+				Warn("item begins again: the answer is larger than the item allows")
+			return outcome{retryDelay: itemRetryDelay, cause: "oversized"}, balancer.OutcomeLost
+		}
 	}
 }
 
--- a/internal/jobkeeper/text_test.go
+++ b/internal/jobkeeper/text_test.go
@@ -1,11 +1,14 @@
 package jobkeeper
 
 import (
+	"strconv"
+	"strings"
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
+	"github.com/quetzalhitch/quetzalhitch/internal/forwarder"
 	"github.com/quetzalhitch/quetzalhitch/internal/storer"
 )
 
@@ -46,6 +49,42 @@
 	})
 }
 
+// TestOversizedAnswer guards against results that the store refuses, and that hold up all
+// later results of their job, after a server has answered an item without end.
+func TestOversizedAnswer(t *testing.T) {
+	run := func(t *testing.T, endless *endlessStream) {
+		t.Helper()
+		c := newTestCluster()
+		c.client.queued = []*forwarder.Answer{{Outcome: forwarder.AnswerSucceeded, Status: 200, Stream: endless}}
+		k := c.startKeeper(t, "k1")
+		submit(t, k, manifest("i1", "i2"))
+		assertResults(t, awaitResults(t, k, 2), StateCompleted, fullText)
+		assert.Equal(t, len(c.client.resumes), 0, "an item went on after events of the oversized answer")
+	}
+	t.Run("more events than the item has tokens", func(t *testing.T) {
+		endless := &endlessStream{data: "x"}
+		run(t, endless)
+		assert.Equal(t, endless.events, itemTokens+1)
+	})
+	t.Run("more text than a value of the store holds", func(t *testing.T) {
+		run(t, &endlessStream{data: strings.Repeat("x", maxValueBytes/2)})
+	})
+}
+
+// An endlessStream has events without end.
+type endlessStream struct {
+	data   string
+	events int
+}
+
+func (s *endlessStream) Next() (forwarder.Event, error) {
+	s.events++
+	id := strconv.Itoa(s.events)
+	return forwarder.Event{ID: id, Raw: []byte("id: " + id + "\ndata: " + s.data + "\n\n")}, nil
+}
+
+func (s *endlessStream) Close() {}
+
 // put writes a key as another writer would.
 func (c *testCluster) put(t *testing.T, key string, value []byte) {
 	t.Helper()
