fix: unfinished answers share a bound on what they hold in memory

Reported by operators: a server sent bytes without end, and the process that had called it kept them all and ran out of memory, with the requests of other callers.

--- a/internal/sender/answer.go
+++ b/internal/sender/answer.go
@@ -118,19 +118,23 @@
 
 // readEvent reads up to and including a blank line.
 func (a *Answer) readEvent() (event []byte, err error) {
+	held := buffer{budget: a.exchange.held}
+	defer held.release()
 	for {
 		line, err := a.reader.ReadSlice('\n')
-		event = append(event, line...)
+		if err := held.append(line); err != nil {
+			return held.bytes, err
+		}
 		a.bytesRead += len(line)
 		switch {
-		case a.bytesRead > a.exchange.cfg.MaxStreamBytes, len(event) > maxEventBytes:
-			return event, errTooLarge
+		case a.bytesRead > a.exchange.cfg.MaxStreamBytes, len(held.bytes) > maxEventBytes:
+			return held.bytes, errTooLarge
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case err != nil:
-			return event, err
-		case len(bytes.TrimRight(line, "\r\n")) == 0 && isFullLine(event, line):
-			return event, nil
+			return held.bytes, err
+		case len(bytes.TrimRight(line, "\r\n")) == 0 && isFullLine(held.bytes, line):
+			return held.bytes, nil
 		}
 	}
 }
--- a/internal/sender/exchange.go
+++ b/internal/sender/exchange.go
@@ -56,12 +56,13 @@
 	reader          *bufio.Reader
 	client          *fasthttp.HostClient
 	answer          *fasthttp.Response
+	held            *budget // Of the sender.
 }
 
 // Send sends a request once, without retries. The error is a *Failure. The caller
 // must close the answer.
 func (s *Sender) Send(ctx context.Context, r Request) (*Answer, error) {
-	e := &exchange{ctx: ctx, cfg: s.cfg, request: r, client: s.client(r.Class, r.Address)}
+	e := &exchange{ctx: ctx, cfg: s.cfg, request: r, client: s.client(r.Class, r.Address), held: &s.held}
 	if err := e.connect(s); err != nil {
 		return nil, &Failure{Cause: e.dialCause(err), Err: err}
 	}
@@ -255,26 +256,17 @@
 		if !e.hasDeclaredEnd() {
 			return nil, errTruncated
 		}
-		a.Body, err = readLimited(stream, e.cfg.MaxAnswerBytes)
-		if err != nil {
+		body := buffer{budget: e.held}
+		defer body.release()
+		if err := body.readAll(stream, e.cfg.MaxAnswerBytes); err != nil {
 			return nil, err
 		}
+		a.Body = body.bytes
 	}
 	e.finish(true)
 	return a, nil
 }
 
-func readLimited(r io.Reader, limit int) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, int64(limit)+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(body) > limit {
-		return nil, errTooLarge
-	}
-	return body, nil
-}
-
 // finish ends the exchange. The connection is reused only if the answer was read
 // to its end and no further data was received.
 func (e *exchange) finish(complete bool) {
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -54,6 +54,7 @@
 	MaxConns       int           // Per server and traffic class.
 	MaxAnswerBytes int           // Limit for a non-streaming answer.
 	MaxStreamBytes int           // Limit for a stream.
+	MaxHeldBytes   int           // Limit for what all unfinished answers hold, beyond a small part of each.
 	Dialer         Dialer        // Nil means TCP with keep-alives and DialTimeout.
 	// Dialed is called after each attempt to open a connection for a pool; nil for never.
 	Dialed func(address string, err error)
@@ -71,6 +72,7 @@
 	c.MaxConns = intOr(c.MaxConns, defaultMaxConns)
 	c.MaxAnswerBytes = intOr(c.MaxAnswerBytes, defaultMaxAnswerBytes)
 	c.MaxStreamBytes = intOr(c.MaxStreamBytes, defaultMaxStreamBytes)
+	c.MaxHeldBytes = intOr(c.MaxHeldBytes, defaultMaxHeldBytes)
 	if c.Dialer == nil {
 		c.Dialer = &net.Dialer{Timeout: c.DialTimeout, KeepAliveConfig: keepAlive}
 	}
@@ -95,6 +97,7 @@
 type Sender struct {
 	cfg     Config
 	clients [trafficClassCount]clientTable
+	held    budget // Of all unfinished answers.
 }
 
 type clientTable struct {
@@ -109,6 +112,7 @@
 // New returns a sender without connections.
 func New(cfg Config) *Sender {
 	s := &Sender{cfg: cfg.withDefaults()}
+	s.held.limit = int64(s.cfg.MaxHeldBytes)
 	for i := range s.clients {
 		for j := range s.clients[i].shards {
 			s.clients[i].shards[j].clients = map[string]*fasthttp.HostClient{}
--- a/internal/sender/trouble_test.go
+++ b/internal/sender/trouble_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -27,29 +28,30 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
+	block := []byte(f.repeated)
+	if f.pause == 0 {
+		block = bytes.Repeat(block, 1+(64<<10)/len(block))
+	}
 	go func() {
 		for {
 			c, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			go f.answer(c)
+			go f.answer(c, block)
 		}
 	}()
 	return listener.Addr().String()
 }
 
-func (f flood) answer(c net.Conn) {
+// answer writes the same block again and again. It allocates nothing meanwhile.
+func (f flood) answer(c net.Conn, block []byte) {
 	defer func() { _ = c.Close() }()
 	_, _ = http.ReadRequest(bufio.NewReader(c))
 	_, err := io.WriteString(c, f.start)
-	block := f.repeated
-	if f.pause == 0 {
-		block = strings.Repeat(block, 1+(64<<10)/len(block))
-	}
 	for err == nil {
 		time.Sleep(f.pause)
-		_, err = io.WriteString(c, block)
+		_, err = c.Write(block)
 	}
 }
 
