fix: the product refuses requests that come during its shutdown

Evidence: TestShutdown failed on at its new step (401 instead of 503: the request was handled) and passes three of three with the race detector.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -114,6 +114,7 @@
 	baseContext context.Context // Parent of all request contexts; set by Start.
 	inFlight    conc.WaitGroup  // Dispatch goroutines.
 	draining    atomic.Bool
+	stopping    atomic.Bool // Requests that arrive are refused.
 }
 
 // New binds the address. Requests are served once Start is called.
@@ -168,7 +169,11 @@
 	s.HeaderReceived = a.requestConfig
 	handle := s.Handler
 	s.Handler = func(ctx *fasthttp.RequestCtx) {
-		a.handle(ctx, handle)
+		if a.stopping.Load() {
+			_ = writeRefusal(ctx, refuser.New(refuser.Draining, refuser.NotRun, "the instance is leaving"))
+		} else {
+			a.handle(ctx, handle)
+		}
 		if a.draining.Load() {
 			ctx.SetConnectionClose() // Makes the caller reconnect, to another instance.
 		}
@@ -240,10 +245,11 @@
 	a.draining.Store(true)
 }
 
-// Shutdown stops accepting connections and waits for the requests in flight, or
-// returns the error of ctx.
+// Shutdown stops accepting connections, refuses requests that arrive on open ones, and
+// waits for the requests in flight, or returns the error of ctx.
 func (a *Acceptor) Shutdown(ctx context.Context) (err error) {
 	a.Drain()
+	a.stopping.Store(true)
 	if err := a.app.ShutdownWithContext(ctx); err != nil {
 		return merry.Prepend(err, "shutdown")
 	}
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -278,12 +278,18 @@
 	r.Drain()
 	assertRefused(t, r, call{method: "GET", path: "/readyz"}, refuser.Draining)
 	assertAnswer(t, r, completionCall("marker:m-2", 2, false), "m-2-1")
+	late, err := net.Dial("tcp", r.Address())
+	assert.NilError(t, err)
+	defer func() { _ = late.Close() }()
+	time.Sleep(50 * time.Millisecond) // Until it is accepted.
 	ended := make(chan error, 1)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 		defer cancel()
 		ended <- r.Shutdown(ctx)
 	}()
+	time.Sleep(50 * time.Millisecond)
+	assertLateRefused(t, late)
 	body, err := io.ReadAll(response.Body)
 	assert.NilError(t, err)
 	assert.Assert(t, strings.HasSuffix(string(body), "data: [DONE]\n\n"), "the stream was aborted")
@@ -292,6 +298,22 @@
 	assert.Assert(t, err != nil, "a connection was accepted after the shutdown")
 }
 
+// assertLateRefused checks that a request that comes during the shutdown on an open
+// connection is refused: it would be cut at the end of the shutdown.
+func assertLateRefused(t *testing.T, c net.Conn) {
+	t.Helper()
+	_, err := io.WriteString(c, "GET /services/labels/labels/l-1 HTTP/1.1\r\nHost: h\r\n\r\n")
+	assert.NilError(t, err)
+	answer, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	body, err := io.ReadAll(answer.Body)
+	assert.NilError(t, err)
+	assert.NilError(t, answer.Body.Close())
+	assert.Equal(t, answer.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, strings.Contains(string(body), string(refuser.Draining)), "%s", body)
+	assert.Assert(t, answer.Close)
+}
+
 // Guards against an instance that accepts requests before it has a configuration.
 func TestNotConfigured(t *testing.T) {
 	r := newTestRig(t, 1)
