fix: items do not move between services without servers

An item whose route has several services, none of which has servers, could change its queue each second, with a log line. It stays where it is now until one has servers.

Evidence: a new subtest of TestWaitingItems fails without the change (trial in a scratch copy).

--- a/internal/jobkeeper/queue.go
+++ b/internal/jobkeeper/queue.go
@@ -127,7 +127,11 @@
 	case route == nil || k.hasExpired(t.job, route) || !route.LeadsTo(service):
 		return true
 	}
-	return !k.hasServers(service) && k.chooseService(route) != service
+	if k.hasServers(service) {
+		return false
+	}
+	other := k.chooseService(route)
+	return other != service && k.hasServers(other)
 }
 
 func (s *queueSet) forService(service string) *itemQueue {
--- a/internal/jobkeeper/queue_test.go
+++ b/internal/jobkeeper/queue_test.go
@@ -83,6 +83,18 @@
 		c.placers[0].Install(newServers)
 		assertResults(t, awaitResults(t, k, 3), StateCompleted, fullText)
 	})
+	t.Run("no service of the route has servers", func(t *testing.T) {
+		c, k := startWaiting(t)
+		installPolicy(c, 2, "s", "s2")
+		c.placers[0].Install(nil)
+		j, ok := k.owned(jobID)
+		assert.Assert(t, ok)
+		for range 20 {
+			for _, waiting := range j.unfinished {
+				assert.Assert(t, !k.mustLeave(waiting, "s"), "items move between services without servers")
+			}
+		}
+	})
 	t.Run("an item expires while it waits", func(t *testing.T) {
 		_, k := startWaiting(t, func(m *Manifest) { m.SubmittedAt = time.Now().Add(2*time.Second - time.Minute) })
 		assertResults(t, awaitResults(t, k, 3), StateDeadLettered, "")
