--- a/internal/jobkeeper/queue_test.go
+++ b/internal/jobkeeper/queue_test.go
@@ -1,7 +1,6 @@
 package jobkeeper
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -43,7 +42,8 @@
 	return c, k
 }
 
-// installPolicy installs a policy with the route r and another one.
+// installPolicy installs a policy in which the route r leads to some services, and
+// another route to s.
 func installPolicy(c *testCluster, version int64, services ...string) {
 	route := batchRoute("r", services...)
 	c.policies[0].Install(routefinder.Policy{Version: version, Routes: []routefinder.Route{route, batchRoute("other", "s")}})
@@ -68,7 +68,7 @@
 		assertResults(t, awaitResults(t, k, 3), StateCompleted, fullText)
 	})
 	t.Run("the route moves, and an item of another route waits before them", func(t *testing.T) {
-		c, k := startWaiting(t, func(m *Manifest) { m.Route = "r" })
+		c, k := startWaiting(t)
 		installPolicy(c, 2, "s")
 		other := manifest("i9")
 		other.Job, other.Route, other.SubmittedAt = "j2", "other", time.Now().Add(-30*time.Second)
@@ -106,9 +106,9 @@
 	})
 	t.Run("a change that keeps the service", func(t *testing.T) {
 		c, k := startWaiting(t)
-		before := fmt.Sprint(k.queues.forService("s").sequencer.Len())
+		before := k.queues.forService("s").sequencer.Len()
 		installPolicy(c, 2, "s")
 		time.Sleep(3 * capacityPollInterval)
-		assert.Equal(t, fmt.Sprint(k.queues.forService("s").sequencer.Len()), before, "items that wait")
+		assert.Equal(t, k.queues.forService("s").sequencer.Len(), before, "items that wait")
 	})
 }
