test: the stand-in of the store refuses what its protocol refuses

TestStoreLimits passes; no other test of the packages that use the stand-in depended on what it took.

--- a/internal/emulator/storeemulator/store.go
+++ b/internal/emulator/storeemulator/store.go
@@ -40,6 +40,7 @@
 	changed     chan struct{} // Closed and replaced on each change.
 	fault       func(operation string) Fault
 	calls       map[string]int // Number of calls by operation.
+	refusals    int            // Number of calls that break a limit of the protocol.
 }
 
 type lease struct {
@@ -71,6 +72,13 @@
 	return s.calls[operation]
 }
 
+// Refusals returns the number of calls that broke a limit of the protocol.
+func (s *Store) Refusals() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refusals
+}
+
 // begin locks mu, counts a call, removes expired leases and returns the fault of
 // the call. The caller unlocks mu.
 func (s *Store) begin(operation string) Fault {
@@ -213,6 +221,10 @@
 	if fault == Down || fault == RequestLost {
 		return 0, faultError(fault, true)
 	}
+	if err := checkTransaction(t); err != nil {
+		s.refusals++
+		return 0, err
+	}
 	for _, e := range t.Expect {
 		present := s.entries[e.Key]
 		if present.Version != e.Version {
@@ -244,6 +256,10 @@
 	if fault != None {
 		return storer.Lease{}, faultError(fault, true)
 	}
+	if err := checkLeaseTTL(ttl); err != nil {
+		s.refusals++
+		return storer.Lease{}, err
+	}
 	s.lastLeaseID++
 	expiresAt := s.clock.Now().Add(ttl)
 	s.leases[s.lastLeaseID] = lease{ttl: ttl, expiresAt: expiresAt}
