fix: results and progress fit a value of the store with their IDs

Results of a job were never listed if its items had long IDs: 20 IDs of 80 KB make a segment of 1.6 MB, which the store refuses at each attempt. Saved progress was refused in the same way.

The sizes of segments and of progress were those of the texts alone. They are an upper bound of the encoded records now: ID, event ID, version, text, and what names and lengths take. Progress that does not fit is left out, so that the failed attempts of the other items are saved.

--- a/internal/jobkeeper/flusher.go
+++ b/internal/jobkeeper/flusher.go
@@ -169,7 +169,7 @@
 func firstResults(pending []Result) []Result {
 	size := 0
 	for i, r := range pending {
-		size += len(r.Text)
+		size += r.encodedBytes()
 		if size > maxValueBytes && i > 0 {
 			return pending[:i]
 		}
--- a/internal/jobkeeper/job.go
+++ b/internal/jobkeeper/job.go
@@ -91,6 +91,22 @@
 	Text  string `cbor:"text"`
 }
 
+// encodingOverhead is the most that the names, lengths and numbers of an encoded Result or
+// Progress take.
+const encodingOverhead = 128
+
+// encodedBytes returns an upper bound of the size of the result in a segment.
+func (r Result) encodedBytes() int { return encodingOverhead + len(r.Item) + len(r.State) + len(r.Text) }
+
+// encodedBytes returns an upper bound of the size of the progress in a checkpoint.
+func (p Progress) encodedBytes() (n int) {
+	n = encodingOverhead + len(p.Item) + len(p.After) + len(p.Text)
+	if p.Version != nil {
+		n += len(*p.Version)
+	}
+	return n
+}
+
 // A View is a page of a job's results, starting at a position.
 type View struct {
 	Total   int      `cbor:"total"`
@@ -173,20 +189,20 @@
 	failures int // Of all these items.
 }
 
-// checkpoint returns the progress of the unfinished items, up to maxValueBytes of text.
-// The caller holds j.mu.
+// checkpoint returns the progress of the unfinished items, as much of it as fits into a
+// value of the store. The caller holds j.mu.
 func (j *job) checkpoint() (c checkpoint) {
 	size := 0
 	for id, t := range j.unfinished {
 		p := t.progress()
-		size += len(p.Text)
-		if size > maxValueBytes {
-			p = Progress{Failures: p.Failures}
+		p.Item = id
+		if size+p.encodedBytes() > maxValueBytes {
+			p = Progress{Item: id, Failures: p.Failures}
 		}
-		if p.Events == 0 && p.Failures == 0 {
+		if p.Events == 0 && p.Failures == 0 || size+p.encodedBytes() > maxValueBytes {
 			continue
 		}
-		p.Item = id
+		size += p.encodedBytes()
 		c.saved = append(c.saved, p)
 		c.events += p.Events
 		c.failures += p.Failures
@@ -251,7 +267,8 @@
 	return newView(j.record.Total, j.listed, after, j.ended || j.record.Done)
 }
 
-// maxValueBytes limits one value of the store, which accepts up to 1 MB.
+// maxValueBytes limits one value of the store, which accepts up to 1 MB, and the text of
+// one result.
 const maxValueBytes = 700 << 10
 
 // maxViewBytes limits the text of one view. Callers accept at most 1 MB; the
