fix: jobs that can never be done are refused, and those of earlier builds end

A job in which an ID stood twice was accepted, listed one result for both and was never done; its item was queued twice and could run twice at the same time. IDs, paths and header fields that no backend server gets as they are were accepted too, and their items tried until they expired.

The result of an item was kept by its ID, while the record counted positions, and nothing checked what the caller had sent. A job that an earlier build has accepted is accepted again, and each position of a repeated ID gets the result of its one run, also if the earlier build has listed some of them.

--- /dev/null
+++ b/internal/jobkeeper/check_test.go
@@ -0,0 +1,104 @@
+package jobkeeper
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/enroller"
+	"github.com/quetzalhitch/quetzalhitch/internal/sender"
+	"github.com/quetzalhitch/quetzalhitch/pkg/refuser"
+)
+
+// TestInvalidJobs guards against accepted jobs that can never be done, since one of their
+// items cannot be listed or run.
+func TestInvalidJobs(t *testing.T) {
+	assertRefused := func(t *testing.T, m Manifest, reason string) {
+		t.Helper()
+		c := newTestCluster()
+		k := c.startKeeper(t, "k1")
+		refusal := k.Submit(t.Context(), m)
+		assert.Assert(t, refusal != nil, "accepted")
+		assert.Equal(t, refusal.Code, refuser.BadRequest)
+		assert.Equal(t, refusal.Outcome, refuser.NotRun)
+		assert.Assert(t, strings.Contains(refusal.Message, reason), refusal.Message)
+		assert.Equal(t, c.store.Calls("commit"), 1, "writes besides the member's own")
+	}
+	changed := func(change func(item *Item)) Manifest {
+		m := manifest("i1", "i2")
+		change(&m.Items[1])
+		return m
+	}
+	t.Run("an ID that stands twice", func(t *testing.T) {
+		assertRefused(t, manifest("i1", "i1", "i2"), "item 2: its ID is that of item 1")
+	})
+	t.Run("an empty ID", func(t *testing.T) {
+		assertRefused(t, manifest("i1", ""), "item 2")
+	})
+	t.Run("an ID too long for a header field", func(t *testing.T) {
+		assertRefused(t, manifest("i1", strings.Repeat("i", maxItemIDBytes+1)), "item 2")
+	})
+	t.Run("an ID with a line break", func(t *testing.T) {
+		assertRefused(t, manifest("i1", "i\n2"), "item 2")
+	})
+	t.Run("a path with a space", func(t *testing.T) {
+		assertRefused(t, changed(func(i *Item) { i.Target = "/x y" }), "item 2")
+	})
+	t.Run("a header field whose name has a space", func(t *testing.T) {
+		assertRefused(t, changed(func(i *Item) { i.Header = []sender.Field{{Name: "X Model", Value: "m"}} }), "item 2")
+	})
+	t.Run("a header field with a line break", func(t *testing.T) {
+		assertRefused(t, changed(func(i *Item) { i.Header = []sender.Field{{Name: "X-Model", Value: "m\r\nX: 1"}} }), "item 2")
+	})
+	t.Run("the longest ID is accepted", func(t *testing.T) {
+		c := newTestCluster()
+		k := c.startKeeper(t, "k1")
+		submit(t, k, manifest(strings.Repeat("i", maxItemIDBytes)))
+	})
+}
+
+// TestRepeatedItemIDs guards against jobs of earlier builds that are never done, because an
+// ID that stands several times in them is listed once.
+func TestRepeatedItemIDs(t *testing.T) {
+	start := func(t *testing.T, listed ...Result) (*testCluster, *Keeper) {
+		t.Helper()
+		c := newTestCluster()
+		c.storeJob(t, manifest("i1", "i2", "i1"), listed...)
+		k := c.startKeeper(t, "k1")
+		k.SetMembers(enroller.Membership{})
+		awaitOwned(t, k, true)
+		return c, k
+	}
+	assertDone := func(t *testing.T, k *Keeper) {
+		t.Helper()
+		v := awaitAllResults(t, k, 3)
+		count := map[string]int{}
+		for _, r := range v.Results {
+			count[r.Item]++
+			assert.Equal(t, r.Text, fullText)
+		}
+		assert.DeepEqual(t, count, map[string]int{"i1": 2, "i2": 1})
+		record, _, err := k.readRecord(t.Context(), jobID)
+		assert.NilError(t, err)
+		assert.Assert(t, record.Done)
+		assert.Equal(t, record.WaitingTokens, int64(0))
+	}
+	t.Run("each position gets a result of one run", func(t *testing.T) {
+		c, k := start(t)
+		assertDone(t, k)
+		assert.Equal(t, c.client.runsOfFirstItem(), 1)
+	})
+	t.Run("the earlier build has listed the ID once", func(t *testing.T) {
+		c, k := start(t, Result{Item: "i1", State: StateCompleted, Text: fullText})
+		assertDone(t, k)
+		assert.Equal(t, c.client.runsOfFirstItem(), 0)
+	})
+	t.Run("it is accepted again", func(t *testing.T) {
+		_, k := start(t)
+		submit(t, k, manifest("i1", "i2", "i1"))
+		c := newTestCluster()
+		c.storeJob(t, manifest("i1", "i2", "i1"))
+		submit(t, c.startKeeper(t, "k2"), manifest("i1", "i2", "i1"))
+	})
+}
--- a/internal/jobkeeper/flusher.go
+++ b/internal/jobkeeper/flusher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -38,11 +39,12 @@
 		return
 	}
 	delete(j.unfinished, t.item.ID)
-	j.waiting -= t.item.Tokens
+	j.waiting -= t.item.Tokens * int64(t.positions)
 	if len(j.pending) == 0 {
 		j.pendingSince = k.now()
 	}
-	j.pending = append(j.pending, Result{Item: t.item.ID, State: state, Text: text})
+	result := Result{Item: t.item.ID, State: state, Text: text}
+	j.pending = append(j.pending, slices.Repeat([]Result{result}, t.positions)...)
 	k.scheduleFlush(j)
 }
 
@@ -157,6 +159,9 @@
 	a.next.Listed += len(a.results)
 	a.next.Done = a.next.Listed == a.next.Total
 	a.next.WaitingTokens -= j.tokensOf(a.results)
+	if a.next.Done {
+		a.next.WaitingTokens = 0 // Items of a repeated ID may differ in their tokens.
+	}
 	var err error
 	a.transaction, err = k.segmentWrite(j.manifest.Job, a.results, a.next, version)
 	if err != nil {
--- a/internal/jobkeeper/job.go
+++ b/internal/jobkeeper/job.go
@@ -9,6 +9,7 @@
 package jobkeeper
 
 import (
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -96,7 +97,9 @@
 const encodingOverhead = 128
 
 // encodedBytes returns an upper bound of the size of the result in a segment.
-func (r Result) encodedBytes() int { return encodingOverhead + len(r.Item) + len(r.State) + len(r.Text) }
+func (r Result) encodedBytes() int {
+	return encodingOverhead + len(r.Item) + len(r.State) + len(r.Text)
+}
 
 // encodedBytes returns an upper bound of the size of the progress in a checkpoint.
 func (p Progress) encodedBytes() (n int) {
@@ -151,16 +154,28 @@
 
 func newJob(m Manifest, r Record, version int64, listed []Result) *job {
 	j := &job{manifest: m, record: r, version: version, listed: listed, unfinished: map[string]*task{}, changed: make(chan struct{})}
-	done := make(map[string]bool, len(listed))
+	known := make(map[string]Result, len(listed))
+	missing := make(map[string]int, len(m.Items)) // Results that are not listed, by item.
+	for i := range m.Items {
+		missing[m.Items[i].ID]++
+	}
 	for _, result := range listed {
-		done[result.Item] = true
+		known[result.Item] = result
+		missing[result.Item]--
 	}
 	for i := range m.Items {
 		item := &m.Items[i]
-		if !done[item.ID] {
-			j.unfinished[item.ID] = &task{job: j, item: item}
-			j.waiting += item.Tokens
+		positions := missing[item.ID]
+		delete(missing, item.ID)
+		if positions <= 0 {
+			continue
+		}
+		if result, ok := known[item.ID]; ok {
+			j.pending = append(j.pending, slices.Repeat([]Result{result}, positions)...)
+			continue
 		}
+		j.unfinished[item.ID] = &task{job: j, item: item, positions: positions}
+		j.waiting += item.Tokens * int64(positions)
 	}
 	return j
 }
@@ -243,14 +258,12 @@
 
 // tokensOf returns the tokens of the items of some results.
 func (j *job) tokensOf(results []Result) (n int64) {
-	listed := make(map[string]bool, len(results))
-	for _, r := range results {
-		listed[r.Item] = true
-	}
+	tokens := make(map[string]int64, len(j.manifest.Items))
 	for i := range j.manifest.Items {
-		if item := &j.manifest.Items[i]; listed[item.ID] {
-			n += item.Tokens
-		}
+		tokens[j.manifest.Items[i].ID] = j.manifest.Items[i].Tokens
+	}
+	for _, r := range results {
+		n += tokens[r.Item]
 	}
 	return n
 }
--- a/internal/jobkeeper/keeper.go
+++ b/internal/jobkeeper/keeper.go
@@ -250,6 +250,9 @@
 		refusal.RetryAfter = submitRetryAfter
 		return refusal
 	}
+	if refusal := k.checkManifest(m); refusal != nil {
+		return k.refuseUnlessAccepted(ctx, m, refusal)
+	}
 	m.Guarantees = k.currentGuarantees(m)
 	record := Record{
 		Owner:       k.cfg.Self.ID,
@@ -353,10 +356,12 @@
 	j.mu.Lock()
 	tasks := make([]*task, 0, len(j.unfinished))
 	for i := range j.manifest.Items {
-		if t, ok := j.unfinished[j.manifest.Items[i].ID]; ok {
+		item := &j.manifest.Items[i]
+		if t, ok := j.unfinished[item.ID]; ok && t.item == item { // Once for each ID.
 			tasks = append(tasks, t)
 		}
 	}
+	k.scheduleFlush(j)
 	j.mu.Unlock()
 	for _, t := range tasks {
 		k.queues.enqueue(t)
--- a/internal/jobkeeper/task.go
+++ b/internal/jobkeeper/task.go
@@ -51,6 +51,9 @@
 type task struct {
 	job  *job
 	item *Item
+	// positions is the number of results that the item has to get. It is above one only in
+	// jobs of earlier builds, which accepted an ID that stands several times in a job.
+	positions int
 
 	mu       sync.Mutex
 	cancel   context.CancelFunc // Of the current run; nil between runs.
