fix: names that do not fit into a key of the store

A job whose ID has more than 170 bytes or so was refused with 503 and a short Retry-After, though it could never be stored, and its ID could not be asked for without a call that the store refuses. Jobs of a workspace or route with a long name were refused in the same way on routes that limit waiting tokens. The version of a server with a long name was written to the store every 500 ms for ever, and not known after a restart of all instances.

Keys were built from names of any length, while a key has at most 200 bytes. Keys that fit are as before, so that both builds read them.

--- a/internal/jobkeeper/balance.go
+++ b/internal/jobkeeper/balance.go
@@ -32,9 +32,13 @@
 	return fmt.Sprintf("the job does not fit the limit of %d waiting tokens of workspace %s on route %s", e.limit.Tokens, e.limit.Workspace, e.limit.Route)
 }
 
-// balanceKey is the key of the balance of a workspace on a route.
+// balanceKey identifies the balance of a workspace on a route.
 func balanceKey(l admitter.Limit) string { return "wait/" + l.Workspace + "/" + l.Route }
 
+func (k *Keeper) storedBalanceKey(l admitter.Limit) string {
+	return storer.BoundedKey(k.cfg.Prefix, balanceKey(l))
+}
+
 // limitOf returns the limit that a job has to fit, if its route has one.
 func (k *Keeper) limitOf(m Manifest) (l admitter.Limit, policy int64, limited bool) {
 	table := k.cfg.Policies.Table()
@@ -83,7 +87,7 @@
 	if err != nil {
 		return t, err
 	}
-	key := k.key(balanceKey(limit))
+	key := k.storedBalanceKey(limit)
 	t.Expect = slices.Concat(t.Expect, []storer.Precondition{{Key: key, Version: version}})
 	t.Writes = slices.Concat(t.Writes, []storer.Write{{Key: key, Value: value}})
 	return t, nil
@@ -106,7 +110,7 @@
 // exist or cannot be read is zero, and is counted before it is used.
 func (k *Keeper) readBalance(ctx context.Context, limit admitter.Limit) (b admitter.Balance, version int64, err error) {
 	defer func() { err = merry.Prepend(err, "read balance of waiting tokens") }()
-	entry, err := k.cfg.Store.Get(ctx, k.key(balanceKey(limit)))
+	entry, err := k.cfg.Store.Get(ctx, k.storedBalanceKey(limit))
 	if errors.Is(err, storer.ErrNotFound) {
 		return b, 0, nil
 	}
--- a/internal/jobkeeper/check.go
+++ b/internal/jobkeeper/check.go
@@ -15,9 +15,24 @@
 // maxItemIDBytes limits the ID of an item, which backend servers get in a header field.
 const maxItemIDBytes = 256
 
-// checkManifest returns the refusal of a job of which an item could never run or be
-// listed; nil if there is none.
+// fitsKeys reports whether the ID of a job fits into the keys of the store.
+func (k *Keeper) fitsKeys(job string) bool {
+	// The keys of parts and segments end with a number, for which a few digits are left.
+	const maxDigits = 4
+	longest := max(len(k.key(segmentPrefix(job)))+maxDigits, len(k.cfg.EndPrefix+job))
+	return longest <= storer.MaxKeyBytes
+}
+
+// mayExist reports whether a job can be in the store. Earlier builds accepted IDs that leave
+// no room for the numbers of all segments.
+func (k *Keeper) mayExist(job string) bool { return len(k.key(recordKey(job))) <= storer.MaxKeyBytes }
+
+// checkManifest returns the refusal of a job that cannot be stored, or of which an item
+// could never run or be listed; nil if there is none.
 func (k *Keeper) checkManifest(m Manifest) *refuser.Refusal {
+	if !k.fitsKeys(m.Job) {
+		return refuser.New(refuser.BadRequest, refuser.NotRun, "the ID of the job is too long")
+	}
 	positions := make(map[string]int, len(m.Items))
 	for n, item := range m.Items {
 		reason := item.invalidReason()
@@ -60,6 +75,9 @@
 
 // refuseUnlessAccepted refuses a job, unless an earlier build has accepted it.
 func (k *Keeper) refuseUnlessAccepted(ctx context.Context, m Manifest, refusal *refuser.Refusal) *refuser.Refusal {
+	if !k.mayExist(m.Job) {
+		return refusal
+	}
 	known, _, err := k.readRecord(ctx, m.Job)
 	switch {
 	case err == nil:
--- a/internal/jobkeeper/check_test.go
+++ b/internal/jobkeeper/check_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/quetzalhitch/quetzalhitch/internal/enroller"
 	"github.com/quetzalhitch/quetzalhitch/internal/sender"
+	"github.com/quetzalhitch/quetzalhitch/internal/storer"
 	"github.com/quetzalhitch/quetzalhitch/pkg/refuser"
 )
 
@@ -58,6 +59,56 @@
 	})
 }
 
+// TestLongJobID guards against jobs that the store refuses at each attempt, and that their
+// callers are told to submit again.
+func TestLongJobID(t *testing.T) {
+	longest := storer.MaxKeyBytes - len("batch/job//0000")
+	named := func(bytes int) Manifest {
+		m := manifest("i1")
+		m.Job = strings.Repeat("j", bytes)
+		return m
+	}
+	c := newTestCluster()
+	k := c.startKeeper(t, "k1")
+	t.Run("the longest ID is accepted", func(t *testing.T) {
+		submit(t, k, named(longest))
+	})
+	t.Run("a longer one is refused for good", func(t *testing.T) {
+		refusal := k.Submit(t.Context(), named(longest+1))
+		assert.Assert(t, refusal != nil)
+		assert.Equal(t, refusal.Code, refuser.BadRequest)
+	})
+	t.Run("no job of a longer ID exists", func(t *testing.T) {
+		id := named(storer.MaxKeyBytes).Job
+		_, refusal := k.Read(t.Context(), workspace, id, 0, 0)
+		assert.Equal(t, refusal, notFound)
+		_, refusal = k.Body(t.Context(), workspace, id, "i1")
+		assert.Equal(t, refusal, notFound)
+		assert.Equal(t, k.End(t.Context(), workspace, id), notFound)
+	})
+	t.Run("a job that an earlier build has accepted is read", func(t *testing.T) {
+		m := named(longest + 1)
+		c.storeJob(t, m, Result{Item: "i1", State: StateCompleted, Text: fullText})
+		v, refusal := k.Read(t.Context(), workspace, m.Job, 0, 0)
+		assert.Assert(t, refusal == nil)
+		assertResults(t, v, StateCompleted, fullText)
+		submit(t, k, m)
+	})
+	assert.Equal(t, c.store.Refusals(), 0)
+}
+
+// TestLongNames guards against jobs that are refused because the name of their workspace
+// does not fit into a key.
+func TestLongNames(t *testing.T) {
+	c := newTestCluster()
+	c.waitingTokens = 1000
+	k := c.startKeeper(t, "k1")
+	m := manifest("i1")
+	m.Workspace = strings.Repeat("w", storer.MaxKeyBytes)
+	submit(t, k, m)
+	assert.Equal(t, c.store.Refusals(), 0)
+}
+
 // TestRepeatedItemIDs guards against jobs of earlier builds that are never done, because an
 // ID that stands several times in them is listed once.
 func TestRepeatedItemIDs(t *testing.T) {
--- a/internal/jobkeeper/query.go
+++ b/internal/jobkeeper/query.go
@@ -224,6 +224,9 @@
 // refreshCached returns the cached job after reading its record again if it is
 // older than recordCacheTTL.
 func (k *Keeper) refreshCached(ctx context.Context, id string) (*cachedJob, *refuser.Refusal) {
+	if !k.mayExist(id) {
+		return nil, notFound
+	}
 	c := k.cache.get(id)
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/resumer/resumer_test.go
+++ b/internal/resumer/resumer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -15,6 +16,7 @@
 
 	"github.com/quetzalhitch/quetzalhitch/internal/emulator/storeemulator"
 	"github.com/quetzalhitch/quetzalhitch/internal/linker"
+	"github.com/quetzalhitch/quetzalhitch/internal/storer"
 )
 
 const service = "s"
@@ -307,6 +309,15 @@
 		restart(t, f, v1)
 		assertOrigin(t, f.instances["i0"], "q0", v1)
 	})
+	t.Run("the name of the version does not fit into a key", func(t *testing.T) {
+		f := newFleet(t, 4)
+		long := Origin{Service: service, Version: strings.Repeat("v", storer.MaxKeyBytes)}
+		f.setOrigins(long)
+		await(t, func() bool { return f.storedOrigins(t) == 1 })
+		restart(t, f, v2)
+		assertUnknown(t, f.instances["i0"], "q0")
+		assert.Equal(t, f.store.Refusals(), 0)
+	})
 	t.Run("the versions in the store were not read yet", func(t *testing.T) {
 		f := newFleet(t, 1)
 		f.setOrigins(v1)
--- a/internal/resumer/stored.go
+++ b/internal/resumer/stored.go
@@ -85,7 +85,7 @@
 }
 
 func (r *Resumer) key(s Origin) string {
-	return r.cfg.Prefix + url.PathEscape(s.Service) + "/" + url.PathEscape(s.Version)
+	return storer.BoundedKey(r.cfg.Prefix, url.PathEscape(s.Service)+"/"+url.PathEscape(s.Version))
 }
 
 func (r *Resumer) write(ctx context.Context, s Origin) (err error) {
--- a/internal/storer/storer.go
+++ b/internal/storer/storer.go
@@ -41,6 +41,15 @@
 // MaxValueBytes is the maximum size of a value.
 const MaxValueBytes = 1 << 20
 
+// Limits of the transactional store of the users' platform.
+const (
+	// MaxKeyBytes is the maximum length of a key.
+	MaxKeyBytes = 200
+	// MaxTransactionEntries is the maximum number of preconditions, writes and removals of
+	// one transaction together.
+	MaxTransactionEntries = 32
+)
+
 // A Clock tells the time and starts timers. clockwork.Clock implements it.
 type Clock interface {
 	Now() time.Time
--- a/internal/storer/transaction.go
+++ b/internal/storer/transaction.go
@@ -1,5 +1,20 @@
 package storer
 
+import (
+	"crypto/sha256"
+	"encoding/hex"
+)
+
+// BoundedKey returns the key of a name below a prefix. A name that is too long for a key
+// is replaced by its digest.
+func BoundedKey(prefix, name string) string {
+	if len(prefix)+len(name) <= MaxKeyBytes {
+		return prefix + name
+	}
+	digest := sha256.Sum256([]byte(name))
+	return prefix + "sha256-" + hex.EncodeToString(digest[:])
+}
+
 // A Precondition is a condition of a transaction.
 type Precondition struct {
 	Key     string
