fix: a write that the store refuses is not repeated as it is

A refusal was handled like a lost connection. Refused progress waits for more progress, and a refused submission gets 400.

--- a/internal/emulator/storeemulator/store.go
+++ b/internal/emulator/storeemulator/store.go
@@ -24,6 +24,7 @@
 	Down               // The call fails without taking effect.
 	ResponseLost       // A commit takes effect, but its response is lost.
 	RequestLost        // A commit has no effect, and no response says so.
+	Refused            // The call is refused for good.
 )
 
 // A Store is an emulated store. All fields below mu are guarded by it.
@@ -129,6 +130,8 @@
 // faultError returns the error of a call with a fault.
 func faultError(fault Fault, write bool) error {
 	switch {
+	case fault == Refused:
+		return storer.ErrRefused
 	case fault == Down || fault != None && !write:
 		return storer.ErrUnavailable
 	case fault != None:
@@ -218,7 +221,7 @@
 func (s *Store) Commit(_ context.Context, t storer.Transaction) (int64, error) {
 	fault := s.begin("commit")
 	defer s.mu.Unlock()
-	if fault == Down || fault == RequestLost {
+	if fault == Down || fault == RequestLost || fault == Refused {
 		return 0, faultError(fault, true)
 	}
 	if err := checkTransaction(t); err != nil {
--- a/internal/jobkeeper/flusher.go
+++ b/internal/jobkeeper/flusher.go
@@ -130,8 +130,10 @@
 	switch {
 	case errors.Is(err, storer.ErrConflict):
 		return k.resolveConflict(ctx, j, a)
+	case errors.Is(err, storer.ErrRefused):
+		return k.resolveRefusal(ctx, j, a, err)
 	case errors.Is(err, storer.ErrUnknownEffect):
-		j.setDoubtful(a)
+		j.setDoubtful(a, k.now())
 		return err
 	case err != nil:
 		return err
@@ -146,7 +148,11 @@
 	j.mu.Lock()
 	doubtful, version := j.doubtful, j.version
 	a := &segmentAttempt{results: firstResults(j.pending), next: j.record}
-	a.checkpoint = j.checkpoint()
+	if limit := j.afterRefusal; limit.refused {
+		a.results = a.results[:min(len(a.results), max(limit.results, 1))]
+	} else {
+		a.checkpoint = j.checkpoint()
+	}
 	ended := j.ended
 	j.mu.Unlock()
 	if doubtful != nil {
@@ -227,7 +233,7 @@
 	id := j.manifest.Job
 	current, version, err := k.readRecord(ctx, id)
 	if err != nil && !errors.Is(err, storer.ErrNotFound) {
-		j.setDoubtful(a)
+		j.setDoubtful(a, k.now())
 		return err
 	}
 	log := k.log(id).WithFields(logrus.Fields{"version": version, "owner": current.Owner, "segments": current.Segments, "listed": current.Listed})
@@ -252,11 +258,11 @@
 func (k *Keeper) resolveEnd(ctx context.Context, j *job, a *segmentAttempt) error {
 	endVersion, err := k.readEnd(ctx, j.manifest.Job)
 	if err != nil || endVersion == 0 {
-		j.setDoubtful(a)
+		j.setDoubtful(a, k.now())
 		return errors.Join(err, merry.Prependf(storer.ErrConflict, "write segment %d", a.next.Segments))
 	}
 	k.log(j.manifest.Job).WithField("results", len(a.results)).Info("results not listed: the caller ended the job")
-	j.setDoubtful(nil)
+	j.setDoubtful(nil, k.now())
 	return nil
 }
 
@@ -266,7 +272,10 @@
 	defer j.mu.Unlock()
 	j.doubtful = nil
 	j.record, j.version = a.next, version
-	j.savedEvents, j.savedFailures = a.checkpoint.events, a.checkpoint.failures
+	if !j.afterRefusal.refused {
+		j.savedEvents, j.savedFailures = a.checkpoint.events, a.checkpoint.failures
+	}
+	j.afterRefusal = segmentLimit{}
 	j.listed = append(j.listed, a.results...)
 	j.pending = j.pending[len(a.results):]
 	j.pendingSince = k.now()
--- a/internal/jobkeeper/job.go
+++ b/internal/jobkeeper/job.go
@@ -145,8 +145,11 @@
 	ended        bool            // Ended by the caller, or lost to another owner.
 	dropped      bool            // Removed from the job table; implies ended.
 	doubtful     *segmentAttempt // The write of results whose effect is unknown, if any.
+	doubtfulAt   time.Time       // When doubtful was last set.
 	flushing     bool            // A write of results is in progress.
-	savedEvents  int             // Events in the last saved progress.
+	// afterRefusal limits the next segment while the store refuses larger ones.
+	afterRefusal segmentLimit
+	savedEvents  int // Events in the last saved progress.
 	// savedFailures are the failed attempts in the last saved progress.
 	savedFailures int
 	changed       chan struct{} // Closed at the next change that readers can see.
@@ -227,10 +230,10 @@
 
 // setDoubtful records that the effect of a write is unknown; nil means that no write
 // is in doubt.
-func (j *job) setDoubtful(a *segmentAttempt) {
+func (j *job) setDoubtful(a *segmentAttempt, now time.Time) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.doubtful = a
+	j.doubtful, j.doubtfulAt = a, now
 }
 
 func (j *job) recordVersion() int64 {
--- a/internal/jobkeeper/progress.go
+++ b/internal/jobkeeper/progress.go
@@ -59,11 +59,12 @@
 		_, endErr := k.readEnd(ctx, id)
 		return errors.Join(err, endErr)
 	}
-	if err != nil {
+	if err != nil && !errors.Is(err, storer.ErrRefused) {
 		return err
 	}
+	// Progress that the store refuses is not written again before there is more of it.
 	j.mu.Lock()
 	j.savedEvents, j.savedFailures = c.events, c.failures
 	j.mu.Unlock()
-	return nil
+	return err
 }
--- a/internal/jobkeeper/records.go
+++ b/internal/jobkeeper/records.go
@@ -118,6 +118,9 @@
 		k.markInDoubt(m.Job)
 		return refuser.New(refuser.InDoubt, refuser.Unknown, "it is unknown whether the job was accepted")
 	}
+	if errors.Is(err, storer.ErrRefused) {
+		return refuser.New(refuser.BadRequest, refuser.NotRun, "the platform's store does not take the job")
+	}
 	var full *fullError
 	if errors.As(err, &full) {
 		refusal := refuser.New(refuser.WaitingLimit, refuser.NotRun, "the workspace has too many tokens waiting on the route")
--- a/internal/resumer/stored.go
+++ b/internal/resumer/stored.go
@@ -37,7 +37,9 @@
 		delay := storeInterval
 		if err := r.store(ctx); err != nil && ctx.Err() == nil {
 			r.cfg.Logger.WithError(err).Debug("failed to store the versions of servers that have served lately")
-			delay = storeRetryDelay
+			if !errors.Is(err, storer.ErrRefused) {
+				delay = storeRetryDelay
+			}
 		}
 		waiter.Pause(ctx, r.cfg.Clock, delay, r.history.changed)
 	}
--- a/internal/storer/storer.go
+++ b/internal/storer/storer.go
@@ -33,9 +33,8 @@
 	// ErrUnknownEffect means that no answer to a write arrived: it may have taken
 	// effect or may still do so. The caller must read the key back.
 	ErrUnknownEffect = merry.Sentinel("no answer from the platform; the write may have taken effect")
-	// ErrValueTooLarge means that a value exceeds MaxValueBytes. The write had
-	// no effect.
-	ErrValueTooLarge = merry.Sentinel("value too large")
+	// ErrValueTooLarge means that a value exceeds MaxValueBytes. It matches ErrRefused.
+	ErrValueTooLarge = merry.Wrap(ErrRefused, merry.WithMessage("value too large"))
 )
 
 // MaxValueBytes is the maximum size of a value.
