fix: a record that the platform refuses is not written until it seems lost

In the product's own interface, a record that the platform refuses was written again for 10 s, and the caller then got 503 in-doubt and the advice to send the job again, without end.

put took a refusal for a lost answer and resolve repeated the write. Both return a refusal now, since the write had no effect, and a submission gets 400 with outcome not-run.

Evidence: TestRefusedRecords fails on the commit before (platform-unavailable and in-doubt after the resolve timeout) and passes with the change.

--- a/internal/batcher/failure_test.go
+++ b/internal/batcher/failure_test.go
@@ -336,3 +336,17 @@
 	inst.submit(t, 100)
 	inst.assertEnds(t, Completed)
 }
+
+// Guards against a write that the platform refuses and that is repeated until it counts as
+// a lost answer, so that callers submit the job again for ever.
+func TestRefusedRecords(t *testing.T) {
+	for name, prefix := range map[string]string{"the entry": openKey(testJob), "the manifest": jobKey(testJob)} {
+		t.Run(name, func(t *testing.T) {
+			inst := newTestCluster(t).addInstance("entry-1", succeed)
+			inst.store.set(func(s *instanceStore) { s.refuse = prefix })
+			_, err := inst.Submit(t.Context(), submission(uploadLines(1)))
+			assertRefused(t, err, refuser.BadRequest, refuser.NotRun)
+			inst.store.set(func(s *instanceStore) { assert.Equal(t, s.refused, 1) })
+		})
+	}
+}
--- a/internal/batcher/fakes_test.go
+++ b/internal/batcher/fakes_test.go
@@ -63,6 +63,8 @@
 	failedCalls  int                                     // Calls made while down.
 	paused       chan struct{}                           // If not nil, calls block until it is closed.
 	loseResponse func(storer.PutRequest) (lost, do bool) // Whether to lose the response of a write, and whether to do the write.
+	refuse       string                                  // Prefix of keys whose writes are refused; empty for none.
+	refused      int                                     // Writes that were refused.
 }
 
 func (s *instanceStore) set(f func(h *instanceStore)) {
@@ -124,7 +126,14 @@
 	}
 	s.faults.Lock()
 	lose := s.loseResponse
+	refused := s.refuse != "" && strings.HasPrefix(r.Key, s.refuse)
+	if refused {
+		s.refused++
+	}
 	s.faults.Unlock()
+	if refused {
+		return storer.Entry{}, storer.ErrRefused
+	}
 	if lose != nil {
 		if lost, do := lose(r); lost {
 			if do {
--- a/internal/batcher/query.go
+++ b/internal/batcher/query.go
@@ -176,6 +176,13 @@
 	}
 }
 
+// jobRefusal refuses a new job of which the platform refuses a record. It would be
+// refused again.
+func (b *Batcher) jobRefusal(err error) error {
+	b.cfg.Logger.WithError(err).Warn("the platform refuses a record of a new job")
+	return refuser.New(refuser.BadRequest, refuser.NotRun, "the platform does not take the job")
+}
+
 func platformRefusal(message string) error {
 	return &refuser.Refusal{
 		Code: refuser.PlatformUnavailable, Message: message,
--- a/internal/batcher/recordstore.go
+++ b/internal/batcher/recordstore.go
@@ -180,6 +180,7 @@
 	case err == nil:
 		return entry, nil
 	case errors.Is(err, storer.ErrConflict),
+		errors.Is(err, storer.ErrRefused),
 		errors.Is(err, storer.ErrUnavailable),
 		errors.Is(err, storer.ErrLeaseExpired):
 		return storer.Entry{}, err
@@ -192,7 +193,8 @@
 
 // resolve determines the outcome of a write before ctx ends. While the key still
 // has the expected version, the write is repeated; compare-and-swap lets at most
-// one of the writes take effect.
+// one of the writes take effect. A write that is refused had no effect before
+// either.
 func (s *recordStore) resolve(
 	ctx context.Context, r storer.PutRequest, matches func(value []byte) bool,
 ) (entry storer.Entry, err error) {
@@ -206,7 +208,7 @@
 			return storer.Entry{}, storer.ErrConflict
 		case err == nil || absent:
 			entry, err = s.store.Put(ctx, r)
-			if err == nil || errors.Is(err, storer.ErrLeaseExpired) {
+			if err == nil || errors.Is(err, storer.ErrLeaseExpired) || errors.Is(err, storer.ErrRefused) {
 				return entry, err
 			}
 		}
--- a/internal/batcher/submit.go
+++ b/internal/batcher/submit.go
@@ -133,11 +133,18 @@
 // job. It overwrites an entry left by an earlier submission, so that no instance
 // deletes it as an old orphan.
 func (b *Batcher) accept(ctx context.Context, m Manifest) (Manifest, error) {
-	if err := b.records.overwrite(ctx, openKey(m.key()), encode(m.open())); err != nil {
+	err := b.records.overwrite(ctx, openKey(m.key()), encode(m.open()))
+	if errors.Is(err, storer.ErrRefused) {
+		return Manifest{}, b.jobRefusal(err)
+	}
+	if err != nil {
 		// Without a manifest the job does not exist, even if the entry was written.
 		return Manifest{}, platformRefusal("the platform does not take the entry of the job")
 	}
 	existing, err := b.records.createManifest(ctx, m)
+	if errors.Is(err, storer.ErrRefused) {
+		return Manifest{}, b.jobRefusal(err)
+	}
 	if err != nil {
 		return Manifest{}, b.writeRefusal(err, "the manifest of the job")
 	}
