fix: a page of results fits what callers accept as JSON

A page could have 4 MB of JSON, and later results could not be read by a caller that takes 1 MB: the size of a page was that of its texts, in which a control character counts one byte and takes six, and IDs were left out.

A text that does not fit into a page by itself is larger than an answer may be.

--- a/internal/jobkeeper/job.go
+++ b/internal/jobkeeper/job.go
@@ -11,8 +11,10 @@
 import (
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"github.com/quetzalhitch/quetzalhitch/internal/sender"
 )
@@ -110,6 +112,30 @@
 	return n
 }
 
+// jsonOverhead is the most that the names and the state of a result take in JSON.
+const jsonOverhead = 64
+
+// jsonBytes returns an upper bound of the size of the result in JSON.
+func (r Result) jsonBytes() int { return jsonOverhead + jsonBytes(r.Item) + jsonBytes(r.Text) }
+
+// jsonBytes returns the size of a text in a JSON string: control characters and bytes that
+// are not UTF-8 take six bytes each.
+func jsonBytes(text string) (n int) {
+	for i, c := range text {
+		switch {
+		case c == '"' || c == '\\' || c == '\n' || c == '\r' || c == '\t':
+			n += 2
+		case c < ' ' || c == '\u2028' || c == '\u2029':
+			n += 6
+		case c == utf8.RuneError && !strings.HasPrefix(text[i:], string(utf8.RuneError)):
+			n += 6
+		default:
+			n += utf8.RuneLen(c)
+		}
+	}
+	return n
+}
+
 // A View is a page of a job's results, starting at a position.
 type View struct {
 	Total   int      `cbor:"total"`
@@ -195,6 +221,7 @@
 		if p.Version != nil {
 			t.after, t.events, t.version = p.After, p.Events, p.Version
 			t.text.WriteString(p.Text)
+			t.textJSONBytes = jsonBytes(p.Text)
 			j.savedEvents += p.Events
 		}
 	}
@@ -277,8 +304,7 @@
 	j.changed = make(chan struct{})
 }
 
-// view returns the listed results from a position on, up to maxViewBytes. The
-// caller holds j.mu.
+// view returns the listed results from a position on. The caller holds j.mu.
 func (j *job) view(after int) View {
 	return newView(j.record.Total, j.listed, after, j.ended || j.record.Done)
 }
@@ -287,23 +313,36 @@
 // one result.
 const maxValueBytes = 700 << 10
 
-// maxViewBytes limits the text of one view. Callers accept at most 1 MB; the
-// rest is left for JSON escapes.
-const maxViewBytes = 600 << 10
+// maxViewBytes limits the JSON of one view. Callers accept at most 1 MB.
+const maxViewBytes = 960_000
+
+// maxResultJSONBytes limits the JSON of one text, so that it fits into a view with its ID.
+const maxResultJSONBytes = maxViewBytes - jsonOverhead - 2*maxItemIDBytes
 
+// newView returns as many of the listed results from a position on as fit into a view, but
+// at least one.
 func newView(total int, listed []Result, after int, ended bool) View {
 	v := View{Total: total, Next: after, Ended: ended}
 	if after < 0 || after > len(listed) {
 		return v
 	}
+	v.Results = slices.Clone(listed[after:])
+	v.Next = len(listed)
+	return v.limited()
+}
+
+// limited returns the view without the results that do not fit into it. Earlier builds
+// return views whose JSON is larger.
+func (v View) limited() View {
+	first := v.Next - len(v.Results)
 	size := 0
-	for _, r := range listed[after:] {
-		size += len(r.Text)
-		if size > maxViewBytes && len(v.Results) > 0 {
+	for i, r := range v.Results {
+		size += r.jsonBytes()
+		if size > maxViewBytes && i > 0 {
+			v.Results = v.Results[:i]
 			break
 		}
-		v.Results = append(v.Results, r)
 	}
-	v.Next = after + len(v.Results)
+	v.Next = first + len(v.Results)
 	return v
 }
--- a/internal/jobkeeper/query.go
+++ b/internal/jobkeeper/query.go
@@ -158,7 +158,7 @@
 	case response.Owned && !response.Found:
 		return View{}, notFound
 	case response.Owned:
-		return response.View, nil
+		return response.View.limited(), nil
 	}
 	return k.readStored(ctx, workspace, id, after)
 }
--- a/internal/jobkeeper/refusal.go
+++ b/internal/jobkeeper/refusal.go
@@ -63,6 +63,7 @@
 	result := j.pending[0]
 	j.pending = j.pending[1:]
 	j.afterRefusal = segmentLimit{}
+	k.log(j.manifest.Job).WithFields(logrus.Fields{"item": result.Item, "text-bytes": len(result.Text)}).Error("the store refuses the result of an item; writing it again later")
 	k.cfg.Clock.AfterFunc(refusedResultDelay, func() {
 		if k.runContext().Err() != nil {
 			return
--- a/internal/jobkeeper/task.go
+++ b/internal/jobkeeper/task.go
@@ -55,14 +55,16 @@
 	// jobs of earlier builds, which accepted an ID that stands several times in a job.
 	positions int
 
-	mu       sync.Mutex
-	cancel   context.CancelFunc // Of the current run; nil between runs.
-	stopped  bool               // The job was ended or lost.
-	text     strings.Builder    // Data of the events received so far.
-	events   int
-	after    string  // ID of the last event.
-	version  *string // Version of the servers that wrote the text; nil before the first event.
-	failures int     // Failed attempts: internal server errors.
+	mu      sync.Mutex
+	cancel  context.CancelFunc // Of the current run; nil between runs.
+	stopped bool               // The job was ended or lost.
+	text    strings.Builder    // Data of the events received so far.
+	// textJSONBytes is the size of text in JSON.
+	textJSONBytes int
+	events        int
+	after         string  // ID of the last event.
+	version       *string // Version of the servers that wrote the text; nil before the first event.
+	failures      int     // Failed attempts: internal server errors.
 	// unexpected counts the other answers that are no result. They say nothing about the
 	// item, but make its runs rarer.
 	unexpected int
@@ -226,10 +228,13 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	data := sender.EventData(event.Raw)
 	if t.events > 0 {
 		t.text.WriteByte('\n')
+		t.textJSONBytes += jsonBytes("\n")
 	}
-	t.text.Write(sender.EventData(event.Raw))
+	t.text.Write(data)
+	t.textJSONBytes += jsonBytes(string(data))
 	t.events++
 	t.unexpected = 0
 	t.after = event.ID
@@ -237,11 +242,12 @@
 }
 
 // isOversized reports whether the text cannot be an answer to the item: it has more
-// events than the item may have tokens, or does not fit into a value of the store.
+// events than the item may have tokens, or does not fit into a value of the store or
+// into a view.
 func (t *task) isOversized() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.text.Len() > maxValueBytes || t.item.Tokens > 0 && int64(t.events) > t.item.Tokens
+	return t.text.Len() > maxValueBytes || t.textJSONBytes > maxResultJSONBytes || t.item.Tokens > 0 && int64(t.events) > t.item.Tokens
 }
 
 // discard drops the events so far and returns their number.
@@ -255,6 +261,7 @@
 func (t *task) discardLocked() (dropped int) {
 	dropped = t.events
 	t.text.Reset()
+	t.textJSONBytes = 0
 	t.events, t.after, t.version = 0, "", nil
 	return dropped
 }
--- a/internal/jobkeeper/text_test.go
+++ b/internal/jobkeeper/text_test.go
@@ -69,6 +69,11 @@
 	t.Run("more text than a value of the store holds", func(t *testing.T) {
 		run(t, &endlessStream{data: strings.Repeat("x", maxValueBytes/2)})
 	})
+	t.Run("more JSON than a caller accepts", func(t *testing.T) {
+		endless := &endlessStream{data: strings.Repeat("\x01", maxPageBytes/12)}
+		run(t, endless)
+		assert.Equal(t, endless.events, 2)
+	})
 }
 
 // An endlessStream has events without end.
