fix: a job that cannot be read does not have all records listed each second

While one job without an owner had a manifest or segment that is missing or cannot be decoded, each scan counted as failed: the records of all jobs were listed again every second, for ever, and departed instances stayed scanned for. Reads of such a job said 404 in part of the cases, although it exists.

A takeover that cannot succeed is logged with the job and left to the next regular scan, as one that the store refuses is. Reads of it get 503.

--- a/internal/jobkeeper/check_test.go
+++ b/internal/jobkeeper/check_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -153,3 +154,30 @@
 		submit(t, c.startKeeper(t, "k2"), manifest("i1", "i2", "i1"))
 	})
 }
+
+// TestUnusableJob guards against one job that cannot be read and for which the records of
+// all jobs are listed every second.
+func TestUnusableJob(t *testing.T) {
+	for name, key := range map[string]string{"its manifest": manifestKey("j2", 0), "a segment": segmentKey("j2", 0)} {
+		t.Run(name, func(t *testing.T) {
+			c := newTestCluster()
+			unusable := manifest("i1", "i2")
+			unusable.Job = "j2"
+			c.storeJob(t, unusable, Result{Item: "i1", State: StateCompleted})
+			c.put(t, "batch/"+key, []byte{0xff})
+			c.storeJob(t, manifest("i1"))
+			k := c.startKeeper(t, "k1")
+			k.SetMembers(enroller.Membership{})
+			assertResults(t, awaitResults(t, k, 1), StateCompleted, fullText)
+			time.Sleep(3 * sweepDebounce) // The scans that the start and the members request have ended.
+			before := c.store.Calls("list")
+			time.Sleep(3 * sweepRetryDelay)
+			assert.Equal(t, c.store.Calls("list"), before)
+			_, readRefusal := k.Read(t.Context(), workspace, "j2", 0, 0)
+			_, bodyRefusal := k.Body(t.Context(), workspace, "j2", "i2")
+			for _, refusal := range []*refuser.Refusal{readRefusal, bodyRefusal} {
+				assert.Assert(t, refusal == nil || refusal.Code == refuser.PlatformUnavailable, "refused: %v", refusal)
+			}
+		})
+	}
+}
--- a/internal/jobkeeper/records.go
+++ b/internal/jobkeeper/records.go
@@ -171,11 +171,11 @@
 	for n := first; n < segments; n++ {
 		value, ok := values[k.key(segmentKey(id, n))]
 		if !ok {
-			return nil, merry.Errorf("segment %d is missing", n)
+			return nil, merry.Prependf(errUnusable, "segment %d is missing", n)
 		}
 		var segment []Result
 		if err := encoder.Unmarshal(value, &segment); err != nil {
-			return nil, err
+			return nil, merry.Wrap(errUnusable, merry.WithCause(err))
 		}
 		results = append(results, segment...)
 	}
@@ -190,6 +190,9 @@
 		return values, nil
 	case 1:
 		entry, err := k.cfg.Store.Get(ctx, k.key(segmentKey(id, first)))
+		if errors.Is(err, storer.ErrNotFound) {
+			return values, nil
+		}
 		values[entry.Key] = entry.Value
 		return values, err
 	}
@@ -204,12 +207,18 @@
 	var data []byte
 	for part := range parts {
 		entry, err := k.cfg.Store.Get(ctx, k.key(manifestKey(id, part)))
+		if errors.Is(err, storer.ErrNotFound) {
+			return Manifest{}, merry.Prependf(errUnusable, "part %d of the manifest is missing", part)
+		}
 		if err != nil {
 			return Manifest{}, err
 		}
 		data = append(data, entry.Value...)
 	}
-	return m, encoder.Unmarshal(data, &m)
+	if err := encoder.Unmarshal(data, &m); err != nil {
+		return Manifest{}, merry.Wrap(errUnusable, merry.WithCause(err))
+	}
+	return m, nil
 }
 
 // readEnd reads from the store whether a job was ended by the caller. It returns the
--- a/internal/jobkeeper/sweep.go
+++ b/internal/jobkeeper/sweep.go
@@ -36,6 +36,10 @@
 	sweepRetryDelay = time.Second
 )
 
+// errUnusable means that the store holds a job that cannot be read. It is looked at again in
+// the next regular scan.
+var errUnusable = merry.Sentinel("the job in the store cannot be used")
+
 // errNotEnrolled means that this instance may not own jobs.
 var errNotEnrolled = merry.Sentinel("not enrolled")
 
@@ -106,9 +110,14 @@
 				k.remove(ctx, id, r, entry.Version)
 			}
 		case !r.Done && !k.hasEnded(id) && k.shouldTakeOver(id, r):
+			err := k.takeOver(ctx, id, r, entry.Version)
+			if errors.Is(err, errUnusable) || errors.Is(err, storer.ErrRefused) {
+				k.log(id).WithError(err).Error("a job without owner cannot be taken over")
+				continue
+			}
 			// After a conflict the next scan shows whether the job still has no owner: a
 			// late write of the former owner conflicts too.
-			failed = errors.Join(failed, k.takeOver(ctx, id, r, entry.Version))
+			failed = errors.Join(failed, err)
 		}
 	}
 	if failed == nil {
