--- a/internal/jobkeeper/sweep.go
+++ b/internal/jobkeeper/sweep.go
@@ -26,9 +26,8 @@
 	// enrollPollInterval is the time between two checks whether this instance is
 	// enrolled.
 	enrollPollInterval = 250 * time.Millisecond
-	// maxRemovals limits the keys that one transaction removes; the store accepts
-	// 32 entries per transaction.
-	maxRemovals = 28
+	// maxRemovals limits the keys that one transaction removes beside its precondition.
+	maxRemovals = storer.MaxTransactionEntries - 1
 	// minScanAge is the age of the last scan from which on a caller that takes this
 	// instance for the owner of an unknown job triggers another one.
 	minScanAge = 2 * time.Second
--- a/internal/storer/storer.go
+++ b/internal/storer/storer.go
@@ -47,6 +47,9 @@
 	// MaxTransactionEntries is the maximum number of preconditions, writes and removals of
 	// one transaction together.
 	MaxTransactionEntries = 32
+	// MinLeaseTTL and MaxLeaseTTL limit the TTL of a lease.
+	MinLeaseTTL = time.Second
+	MaxLeaseTTL = 10 * time.Minute
 )
 
 // A Clock tells the time and starts timers. clockwork.Clock implements it.
--- a/internal/storer/transaction.go
+++ b/internal/storer/transaction.go
@@ -3,6 +3,10 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"slices"
+	"time"
+
+	"github.com/ansel1/merry/v2"
 )
 
 // BoundedKey returns the key of a name below a prefix. A name that is too long for a key
@@ -46,3 +50,36 @@
 	Entries []Entry
 	Version int64 // Version of the store when the listing started.
 }
+
+// Validate returns an error that matches ErrRefused if the store refuses the transaction,
+// whatever its state is.
+func (t Transaction) Validate() error {
+	if n := len(t.Expect) + len(t.Writes) + len(t.Remove); n > MaxTransactionEntries {
+		return merry.Prependf(ErrRefused, "%d entries, at most %d", n, MaxTransactionEntries)
+	}
+	keys := slices.Clone(t.Remove)
+	for _, e := range t.Expect {
+		keys = append(keys, e.Key)
+	}
+	for _, w := range t.Writes {
+		keys = append(keys, w.Key)
+		if len(w.Value) > MaxValueBytes {
+			return merry.Prependf(ErrValueTooLarge, "%d bytes for key %q", len(w.Value), w.Key)
+		}
+	}
+	for _, key := range keys {
+		if key == "" || len(key) > MaxKeyBytes {
+			return merry.Prependf(ErrRefused, "key %q of %d bytes", key, len(key))
+		}
+	}
+	return nil
+}
+
+// ValidateLeaseTTL returns an error that matches ErrRefused if the store grants no lease
+// of a TTL.
+func ValidateLeaseTTL(ttl time.Duration) error {
+	if ttl < MinLeaseTTL || ttl > MaxLeaseTTL {
+		return merry.Prependf(ErrRefused, "lease of %s", ttl)
+	}
+	return nil
+}
