fix: a job with malformed answers does not take sound servers from others

An item that says too few tokens, or whose answer is never valid text, was run again every 500 ms until it expired, and each server that answered it counted as having lost a request: sound servers were suspected, for all workspaces.

Each malformed answer was blamed on its server. Once servers other than one have answered items of a job so, the job is the likely cause and the server is not blamed; a server that does so to one item or to many is blamed as before.

--- a/internal/jobkeeper/job.go
+++ b/internal/jobkeeper/job.go
@@ -175,7 +175,8 @@
 	flushing     bool            // A write of results is in progress.
 	// afterRefusal limits the next segment while the store refuses larger ones.
 	afterRefusal segmentLimit
-	savedEvents  int // Events in the last saved progress.
+	malformedAt  map[string]bool // Servers that gave an answer which cannot be one to its item.
+	savedEvents  int             // Events in the last saved progress.
 	// savedFailures are the failed attempts in the last saved progress.
 	savedFailures int
 	changed       chan struct{} // Closed at the next change that readers can see.
--- a/internal/jobkeeper/task.go
+++ b/internal/jobkeeper/task.go
@@ -68,6 +68,7 @@
 	// unexpected counts the other answers that are no result. They say nothing about the
 	// item, but make its runs rarer.
 	unexpected int
+	malformed  int    // Answers that cannot be one to the item.
 	losses     []loss // Servers that it may have crashed.
 	// blockedSince is when the item was first passed over because the servers of its
 	// version had no capacity; zero if it was placed since.
@@ -369,7 +370,7 @@
 func (k *Keeper) afterError(t *task, server string, err error) (outcome, balancer.Outcome) {
 	var failure *sender.Failure
 	if !errors.As(err, &failure) {
-		return outcome{retryDelay: itemRetryDelay, cause: "malformed"}, balancer.OutcomeLost
+		return t.afterMalformed(server, "malformed")
 	}
 	o := outcome{cause: string(failure.Cause)}
 	switch failure.Cause {
@@ -403,13 +404,13 @@
 			return k.afterError(t, server.ID, err)
 		}
 		if !utf8.Valid(event.Raw) {
-			return outcome{retryDelay: itemRetryDelay, cause: "malformed"}, balancer.OutcomeLost // Events are UTF-8.
+			return t.afterMalformed(server.ID, "malformed") // Events are UTF-8.
 		}
 		t.appendEvent(event, server.Version)
 		if t.isOversized() {
 			k.log(t.job.manifest.Job).WithFields(logrus.Fields{"item": t.item.ID, reporter.FieldBackendServer: server.ID, "dropped-events": t.discard()}).
 				Warn("item begins again: the answer is larger than the item allows")
-			return outcome{retryDelay: itemRetryDelay, cause: "oversized"}, balancer.OutcomeLost
+			return t.afterMalformed(server.ID, "oversized")
 		}
 	}
 }
