fix: events of an answer without end are no part of a result

A caller could read as completed a text that is not the output of its item: an answer without end that was cut before it was found too large (its server restarted, online work displaced it, its owner was lost after it had saved the progress) left its events in the text. The next server was asked to go on after the last of them, had no event left and ended at once.

An item whose run was asked to go on and brought no event begins again, since the events before may have been more than those of its answer; that costs a second run also where an answer was cut just before its end. False events before an answer without end is found, by a server that another owner knows, and below the bound on events cannot be told from true ones, and are not found.

--- a/internal/jobkeeper/keeper.go
+++ b/internal/jobkeeper/keeper.go
@@ -84,6 +84,7 @@
 	shards        [shardCount]shard
 	queues        queueSet
 	cache         jobCache
+	endless       endlessAnswerSet
 	admitter      *admitter.Admitter
 	items         metric.Int64Counter
 	sweepRequests chan struct{} // Requests a scan of the records of all jobs.
--- a/internal/jobkeeper/malformed.go
+++ b/internal/jobkeeper/malformed.go
@@ -1,6 +1,13 @@
 package jobkeeper
 
-import "github.com/quetzalhitch/quetzalhitch/internal/balancer"
+import (
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/balancer"
+)
 
 // afterMalformed handles an answer that cannot be one to the item. The server counts as
 // faulty unless servers other than this one have answered items of the job in the same way:
@@ -33,3 +40,75 @@
 	j.malformedAt[server] = true
 	return len(j.malformedAt) == 1
 }
+
+// endlessAnswerPeriod is the time around an answer without end in which the other events of its
+// server may not belong to an answer either. It covers the longest run of an item.
+const endlessAnswerPeriod = itemRunTimeout
+
+// A endlessAnswerSet holds the servers that gave an answer without end, each with the time of the
+// last one.
+type endlessAnswerSet struct {
+	mu sync.Mutex
+	at map[string]time.Time // By server.
+}
+
+func (s *endlessAnswerSet) record(server string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.at == nil {
+		s.at = map[string]time.Time{}
+	}
+	for other, at := range s.at {
+		if now.Sub(at) > 2*endlessAnswerPeriod { // No unfinished run is that old.
+			delete(s.at, other)
+		}
+	}
+	s.at[server] = now
+}
+
+// includes reports whether one of the writers of a text gave an answer without end within
+// endlessAnswerPeriod of its last part of the text.
+func (s *endlessAnswerSet) includes(writers map[string]time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for server, wroteAt := range writers {
+		if at, ok := s.at[server]; ok && at.Sub(wroteAt).Abs() <= endlessAnswerPeriod {
+			return true
+		}
+	}
+	return false
+}
+
+// discardDoubtfulText drops what a server wrote that has answered other items without end:
+// it cannot be told where the false events begin. It reports whether there was any.
+func (k *Keeper) discardDoubtfulText(t *task) bool {
+	t.mu.Lock()
+	doubtful := k.endless.includes(t.writers)
+	dropped := 0
+	if doubtful {
+		dropped = t.discardLocked()
+	}
+	t.mu.Unlock()
+	if doubtful {
+		k.log(t.job.manifest.Job).WithFields(logrus.Fields{"item": t.item.ID, "dropped-events": dropped}).
+			Warn("item begins again: a server that wrote a part of its text gives answers without end")
+	}
+	return doubtful
+}
+
+// afterEnd handles the end of an answer that a server has sent in full. The item begins
+// again if its text may hold events that belong to no answer. One sign is a run that was
+// asked to go on after the last event and had none left: the events before may have been
+// more than those of the answer.
+func (k *Keeper) afterEnd(t *task, eventsBefore int) outcome {
+	again := outcome{retryDelay: itemRetryDelay, cause: "doubtful-text"}
+	if k.discardDoubtfulText(t) {
+		return again
+	}
+	if eventsBefore > 0 && t.progress().Events == eventsBefore {
+		k.log(t.job.manifest.Job).WithFields(logrus.Fields{"item": t.item.ID, "dropped-events": t.discard()}).
+			Info("item begins again: no event was left after those of an answer that was cut")
+		return again
+	}
+	return outcome{state: StateCompleted}
+}
--- a/internal/jobkeeper/malformed_test.go
+++ b/internal/jobkeeper/malformed_test.go
@@ -1,12 +1,16 @@
 package jobkeeper
 
 import (
+	"io"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/quetzalhitch/quetzalhitch/internal/balancer"
+	"github.com/quetzalhitch/quetzalhitch/internal/forwarder"
+	"github.com/quetzalhitch/quetzalhitch/internal/sender"
 )
 
 // TestMalformedAnswers guards against one job that takes sound servers from all others,
@@ -54,3 +58,92 @@
 		assert.DeepEqual(t, delays, []time.Duration{second / 2, second, 2 * second, 4 * second, 8 * second, 8 * second})
 	})
 }
+
+// TestEventsOfNoAnswer guards against results that are completed and hold events of an
+// answer without end, which was cut before it was found too large.
+func TestEventsOfNoAnswer(t *testing.T) {
+	// cutAnswer is an answer without end that is cut after some events.
+	cutAnswer := func(events int) *forwarder.Answer {
+		return &forwarder.Answer{Outcome: forwarder.AnswerSucceeded, Status: 200, Stream: &cutStream{endlessStream: endlessStream{data: "x"}, events: events}}
+	}
+	t.Run("more events than the answer has", func(t *testing.T) {
+		c := newTestCluster()
+		c.client.queued = []*forwarder.Answer{cutAnswer(5)}
+		k := c.startKeeper(t, "k1")
+		submit(t, k, manifest("i1"))
+		assertResults(t, awaitResults(t, k, 1), StateCompleted, fullText)
+	})
+	t.Run("as many events as the answer has", func(t *testing.T) {
+		c := newTestCluster()
+		c.client.queued = []*forwarder.Answer{cutAnswer(3)}
+		k := c.startKeeper(t, "k1")
+		submit(t, k, manifest("i1"))
+		assertResults(t, awaitResults(t, k, 1), StateCompleted, fullText)
+	})
+	t.Run("the next owner goes on after them", func(t *testing.T) {
+		c := newTestCluster()
+		c.client.queued = []*forwarder.Answer{cutAnswer(5)}
+		k1, k2 := c.startKeeper(t, "k1"), c.startKeeper(t, "k2")
+		submit(t, k1, manifest("i1"))
+		j, _ := k1.owned(jobID)
+		awaitEvents(t, j, 5)
+		k1.Leave()
+		assert.NilError(t, k1.save(t.Context(), j, 1))
+		c.terms["k1"].set(1, false)
+		c.removeFirstMember(t, k2)
+		assertResults(t, awaitResults(t, k2, 1), StateCompleted, fullText)
+	})
+	t.Run("fewer events, of a server that answers another item without end", func(t *testing.T) {
+		k, j := startHeldJob(t, newTestCluster())
+		written, other := j.unfinished["i1"], j.unfinished["i2"]
+		_, _ = k.readEvents(written, balancer.Backend{ID: "a"}, cutAnswer(2).Stream)
+		_, _ = k.readEvents(other, balancer.Backend{ID: "a"}, &endlessStream{data: "x"})
+		o, placement := k.readEvents(written, balancer.Backend{ID: "b"}, &itemStream{next: 3})
+		assert.Equal(t, o.state, State(""), "completed with the text %q", written.progress().Text)
+		assert.Equal(t, placement, balancer.OutcomeDone)
+		assert.Equal(t, written.progress().Text, "")
+		o, _ = k.readEvents(written, balancer.Backend{ID: "b"}, &itemStream{next: 1})
+		assert.Equal(t, o.state, StateCompleted)
+		assert.Equal(t, written.progress().Text, fullText)
+	})
+	t.Run("the text is dropped before the item goes on", func(t *testing.T) {
+		k, j := startHeldJob(t, newTestCluster())
+		written, other := j.unfinished["i1"], j.unfinished["i2"]
+		_, _ = k.readEvents(written, balancer.Backend{ID: "a"}, cutAnswer(2).Stream)
+		_, _ = k.readEvents(other, balancer.Backend{ID: "a"}, &endlessStream{data: "x"})
+		assert.Assert(t, k.discardDoubtfulText(written))
+		assert.Equal(t, written.progress().After, "")
+	})
+	t.Run("long before the server answered without end", func(t *testing.T) {
+		var endless endlessAnswerSet
+		now := time.Now()
+		endless.record("a", now)
+		assert.Assert(t, !endless.includes(map[string]time.Time{"a": now.Add(-endlessAnswerPeriod - time.Second), "b": now}))
+	})
+}
+
+// A cutStream is an answer without end whose connection is lost after some events.
+type cutStream struct {
+	endlessStream
+	events int
+}
+
+func (s *cutStream) Next() (forwarder.Event, error) {
+	if s.endlessStream.events == s.events {
+		return forwarder.Event{}, &sender.Failure{Cause: sender.CauseConnectionLost, Dispatched: true, Err: io.ErrUnexpectedEOF}
+	}
+	return s.endlessStream.Next()
+}
+
+// awaitEvents waits until the unfinished items of a job have received n events.
+func awaitEvents(t *testing.T, j *job, n int) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		j.mu.Lock()
+		defer j.mu.Unlock()
+		if events := j.checkpoint().events; events < n {
+			return poll.Continue("%d events instead of %d", events, n)
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+}
--- a/internal/jobkeeper/queue.go
+++ b/internal/jobkeeper/queue.go
@@ -337,6 +337,7 @@
 		k.queues.enqueue(t)
 		return
 	}
+	k.discardDoubtfulText(t)
 	if dropped := t.bind(placement.Backend.Version); dropped > 0 {
 		k.log(t.job.manifest.Job).WithFields(logrus.Fields{
 			"item": t.item.ID, "dropped-events": dropped, "server-version": placement.Backend.Version,
--- a/internal/jobkeeper/task.go
+++ b/internal/jobkeeper/task.go
@@ -64,7 +64,10 @@
 	events        int
 	after         string  // ID of the last event.
 	version       *string // Version of the servers that wrote the text; nil before the first event.
-	failures      int     // Failed attempts: internal server errors.
+	// writers holds when each server last wrote a part of the text. It is not saved: the
+	// next owner does not know the servers.
+	writers  map[string]time.Time
+	failures int // Failed attempts: internal server errors.
 	// unexpected counts the other answers that are no result. They say nothing about the
 	// item, but make its runs rarer.
 	unexpected int
@@ -221,9 +224,9 @@
 	return now.Sub(t.blockedSince)
 }
 
-// appendEvent adds the next event, of a server of a version, to the text of the item. A
-// comment is no event.
-func (t *task) appendEvent(event forwarder.Event, version string) {
+// appendEvent adds the next event of a server to the text of the item. A comment is no
+// event.
+func (t *task) appendEvent(event forwarder.Event, server balancer.Backend, now time.Time) {
 	if _, ok := sender.EventField(event.Raw, "data"); !ok {
 		return
 	}
@@ -239,7 +242,11 @@
 	t.events++
 	t.unexpected = 0
 	t.after = event.ID
-	t.version = &version
+	t.version = &server.Version
+	if t.writers == nil {
+		t.writers = map[string]time.Time{}
+	}
+	t.writers[server.ID] = now
 }
 
 // isOversized reports whether the text cannot be an answer to the item: it has more
@@ -263,7 +270,7 @@
 	dropped = t.events
 	t.text.Reset()
 	t.textJSONBytes = 0
-	t.events, t.after, t.version = 0, "", nil
+	t.events, t.after, t.version, t.writers = 0, "", nil, nil
 	return dropped
 }
 
@@ -395,10 +402,11 @@
 
 // readEvents reads the remaining events of the item.
 func (k *Keeper) readEvents(t *task, server balancer.Backend, stream forwarder.Stream) (outcome, balancer.Outcome) {
+	before := t.progress().Events
 	for {
 		event, err := stream.Next()
 		if errors.Is(err, io.EOF) {
-			return outcome{state: StateCompleted}, balancer.OutcomeDone
+			return k.afterEnd(t, before), balancer.OutcomeDone
 		}
 		if err != nil {
 			return k.afterError(t, server.ID, err)
@@ -406,8 +414,9 @@
 		if !utf8.Valid(event.Raw) {
 			return t.afterMalformed(server.ID, "malformed") // Events are UTF-8.
 		}
-		t.appendEvent(event, server.Version)
+		t.appendEvent(event, server, k.now())
 		if t.isOversized() {
+			k.endless.record(server.ID, k.now())
 			k.log(t.job.manifest.Job).WithFields(logrus.Fields{"item": t.item.ID, reporter.FieldBackendServer: server.ID, "dropped-events": t.discard()}).
 				Warn("item begins again: the answer is larger than the item allows")
 			return t.afterMalformed(server.ID, "oversized")
