fix: one item with an endless answer does not put whole answers in doubt

One item that says too few tokens would have had items of other workspaces run again.

Only answers that were cut are in doubt: an answer without end has no end of its own. A server counts only while it, rather than the job, is the likely cause of the malformed answer. resolveRefusal also logs once that fewer results are written, not while a write is in doubt.

Evidence: two new parts of TestEventsOfNoAnswer (a whole answer of that server; a job that any server answers so); the other parts pass as before, with the race detector too.

--- a/internal/jobkeeper/malformed.go
+++ b/internal/jobkeeper/malformed.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/quetzalhitch/quetzalhitch/internal/balancer"
+	"github.com/quetzalhitch/quetzalhitch/internal/reporter"
 )
 
 // afterMalformed handles an answer that cannot be one to the item. The server counts as
@@ -41,12 +42,34 @@
 	return len(j.malformedAt) == 1
 }
 
-// endlessAnswerPeriod is the time around an answer without end in which the other events of its
-// server may not belong to an answer either. It covers the longest run of an item.
+// afterOversized handles an answer that is larger than its item allows. The item begins
+// again.
+func (k *Keeper) afterOversized(t *task, server string) (outcome, balancer.Outcome) {
+	k.log(t.job.manifest.Job).WithFields(logrus.Fields{"item": t.item.ID, reporter.FieldBackendServer: server, "dropped-events": t.discard()}).
+		Warn("item begins again: the answer is larger than the item allows")
+	o, placement := t.afterMalformed(server, "oversized")
+	if placement == balancer.OutcomeLost {
+		k.endless.record(server, k.now())
+	}
+	return o, placement
+}
+
+// recordCut records that the answer of a server was cut.
+func (t *task) recordCut(server string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.cutAt == nil {
+		t.cutAt = map[string]time.Time{}
+	}
+	t.cutAt[server] = now
+}
+
+// endlessAnswerPeriod is the time around an answer without end in which other answers of
+// its server that were cut may have had no end either. It covers the longest run of an item.
 const endlessAnswerPeriod = itemRunTimeout
 
-// A endlessAnswerSet holds the servers that gave an answer without end, each with the time of the
-// last one.
+// An endlessAnswerSet holds the servers that gave an answer without end, each with the time
+// of the last one.
 type endlessAnswerSet struct {
 	mu sync.Mutex
 	at map[string]time.Time // By server.
@@ -66,24 +89,25 @@
 	s.at[server] = now
 }
 
-// includes reports whether one of the writers of a text gave an answer without end within
-// endlessAnswerPeriod of its last part of the text.
-func (s *endlessAnswerSet) includes(writers map[string]time.Time) bool {
+// includes reports whether a server gave an answer without end within endlessAnswerPeriod
+// of the time at which another of its answers was cut.
+func (s *endlessAnswerSet) includes(cutAt map[string]time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for server, wroteAt := range writers {
-		if at, ok := s.at[server]; ok && at.Sub(wroteAt).Abs() <= endlessAnswerPeriod {
+	for server, cut := range cutAt {
+		if at, ok := s.at[server]; ok && at.Sub(cut).Abs() <= endlessAnswerPeriod {
 			return true
 		}
 	}
 	return false
 }
 
-// discardDoubtfulText drops what a server wrote that has answered other items without end:
-// it cannot be told where the false events begin. It reports whether there was any.
+// discardDoubtfulText drops the text of an item if a part of it is from an answer that was
+// cut, of a server that gave answers without end at that time: it cannot be told where the
+// false events begin. A whole answer is not in doubt. It reports whether text was dropped.
 func (k *Keeper) discardDoubtfulText(t *task) bool {
 	t.mu.Lock()
-	doubtful := k.endless.includes(t.writers)
+	doubtful := k.endless.includes(t.cutAt)
 	dropped := 0
 	if doubtful {
 		dropped = t.discardLocked()
@@ -91,7 +115,7 @@
 	t.mu.Unlock()
 	if doubtful {
 		k.log(t.job.manifest.Job).WithFields(logrus.Fields{"item": t.item.ID, "dropped-events": dropped}).
-			Warn("item begins again: a server that wrote a part of its text gives answers without end")
+			Warn("item begins again: a server whose answer to it was cut gives answers without end")
 	}
 	return doubtful
 }
--- a/internal/jobkeeper/malformed_test.go
+++ b/internal/jobkeeper/malformed_test.go
@@ -13,6 +13,12 @@
 	"github.com/quetzalhitch/quetzalhitch/internal/sender"
 )
 
+// newItems returns a keeper and two items that it does not run.
+func newItems(t *testing.T) (*Keeper, map[string]*task) {
+	t.Helper()
+	return newTestCluster().startKeeper(t, "k1"), newJob(manifest("i1", "i2"), Record{}, 0, nil).unfinished
+}
+
 // TestMalformedAnswers guards against one job that takes sound servers from all others,
 // because each server seems faulty that answers one of its items.
 func TestMalformedAnswers(t *testing.T) {
@@ -20,20 +26,15 @@
 	answer := func(k *Keeper, unfinished *task, server string) (outcome, balancer.Outcome) {
 		return k.readEvents(unfinished, balancer.Backend{ID: server}, &endlessStream{data: "x"})
 	}
-	start := func(t *testing.T) (*Keeper, map[string]*task) {
-		t.Helper()
-		k, j := startHeldJob(t, newTestCluster())
-		return k, j.unfinished
-	}
 	t.Run("a server that answers several items so is faulty", func(t *testing.T) {
-		k, items := start(t)
+		k, items := newItems(t)
 		for _, unfinished := range items {
 			_, placement := answer(k, unfinished, "a")
 			assert.Equal(t, placement, balancer.OutcomeLost)
 		}
 	})
 	t.Run("servers that answer one item so are not", func(t *testing.T) {
-		k, items := start(t)
+		k, items := newItems(t)
 		_, _ = answer(k, items["i1"], "a")
 		for _, server := range []string{"b", "c", "a"} {
 			_, placement := answer(k, items["i1"], server)
@@ -41,14 +42,14 @@
 		}
 	})
 	t.Run("servers that answer all items of a job so are not", func(t *testing.T) {
-		k, items := start(t)
+		k, items := newItems(t)
 		_, _ = answer(k, items["i1"], "a")
 		_, _ = answer(k, items["i1"], "b")
 		_, placement := answer(k, items["i2"], "c")
 		assert.Equal(t, placement, balancer.OutcomeCancelled)
 	})
 	t.Run("the runs of the item become rarer", func(t *testing.T) {
-		k, items := start(t)
+		k, items := newItems(t)
 		var delays []time.Duration
 		for range 6 {
 			o, _ := answer(k, items["i1"], "a")
@@ -94,8 +95,8 @@
 		assertResults(t, awaitResults(t, k2, 1), StateCompleted, fullText)
 	})
 	t.Run("fewer events, of a server that answers another item without end", func(t *testing.T) {
-		k, j := startHeldJob(t, newTestCluster())
-		written, other := j.unfinished["i1"], j.unfinished["i2"]
+		k, items := newItems(t)
+		written, other := items["i1"], items["i2"]
 		_, _ = k.readEvents(written, balancer.Backend{ID: "a"}, cutAnswer(2).Stream)
 		_, _ = k.readEvents(other, balancer.Backend{ID: "a"}, &endlessStream{data: "x"})
 		o, placement := k.readEvents(written, balancer.Backend{ID: "b"}, &itemStream{next: 3})
@@ -107,13 +108,27 @@
 		assert.Equal(t, written.progress().Text, fullText)
 	})
 	t.Run("the text is dropped before the item goes on", func(t *testing.T) {
-		k, j := startHeldJob(t, newTestCluster())
-		written, other := j.unfinished["i1"], j.unfinished["i2"]
+		k, items := newItems(t)
+		written, other := items["i1"], items["i2"]
 		_, _ = k.readEvents(written, balancer.Backend{ID: "a"}, cutAnswer(2).Stream)
 		_, _ = k.readEvents(other, balancer.Backend{ID: "a"}, &endlessStream{data: "x"})
 		assert.Assert(t, k.discardDoubtfulText(written))
 		assert.Equal(t, written.progress().After, "")
 	})
+	t.Run("a whole answer of that server is a result", func(t *testing.T) {
+		k, items := newItems(t)
+		_, _ = k.readEvents(items["i2"], balancer.Backend{ID: "a"}, &endlessStream{data: "x"})
+		o, _ := k.readEvents(items["i1"], balancer.Backend{ID: "a"}, &itemStream{next: 1})
+		assert.Equal(t, o.state, StateCompleted)
+	})
+	t.Run("a job that any server answers so puts no text in doubt", func(t *testing.T) {
+		k, items := newItems(t)
+		for _, server := range []string{"a", "b"} {
+			_, _ = k.readEvents(items["i2"], balancer.Backend{ID: server}, &endlessStream{data: "x"})
+		}
+		_, _ = k.readEvents(items["i1"], balancer.Backend{ID: "b"}, cutAnswer(2).Stream)
+		assert.Assert(t, !k.discardDoubtfulText(items["i1"]))
+	})
 	t.Run("long before the server answered without end", func(t *testing.T) {
 		var endless endlessAnswerSet
 		now := time.Now()
--- a/internal/jobkeeper/refusal.go
+++ b/internal/jobkeeper/refusal.go
@@ -21,7 +21,6 @@
 // again, so that the next write has less: no progress, and then half of the results. A
 // single result is set aside and does not hold up the others.
 func (k *Keeper) resolveRefusal(ctx context.Context, j *job, a *segmentAttempt, refusal error) error {
-	log := k.log(j.manifest.Job).WithError(refusal).WithFields(logrus.Fields{"results": len(a.results), "progress": len(a.checkpoint.saved)})
 	if j.isDoubtful() {
 		// An earlier attempt may still take effect. Afterwards the record tells.
 		if !j.doubtfulSince(k.now().Add(-inDoubtPeriod)) {
@@ -36,7 +35,8 @@
 		}
 		j.setDoubtful(nil, k.now())
 	}
-	log.Warn("the store refuses results; writing fewer")
+	k.log(j.manifest.Job).WithError(refusal).WithFields(logrus.Fields{"results": len(a.results), "items-with-progress": len(a.checkpoint.saved)}).
+		Warn("the store refuses results; writing fewer")
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	switch {
--- a/internal/jobkeeper/sizes_test.go
+++ b/internal/jobkeeper/sizes_test.go
@@ -10,7 +10,6 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
-	"github.com/quetzalhitch/quetzalhitch/internal/balancer"
 	"github.com/quetzalhitch/quetzalhitch/internal/encoder"
 	"github.com/quetzalhitch/quetzalhitch/internal/enroller"
 	"github.com/quetzalhitch/quetzalhitch/internal/forwarder"
@@ -73,7 +72,7 @@
 		j, _ := k.owned(jobID)
 		j.mu.Lock()
 		for _, unfinished := range j.unfinished {
-			unfinished.appendEvent(forwarder.Event{ID: "1", Raw: []byte("id: 1\ndata: t1\n\n")}, balancer.Backend{}, k.now())
+			unfinished.appendEvent(forwarder.Event{ID: "1", Raw: []byte("id: 1\ndata: t1\n\n")}, "")
 			unfinished.recordFailure()
 		}
 		j.mu.Unlock()
--- a/internal/jobkeeper/task.go
+++ b/internal/jobkeeper/task.go
@@ -64,9 +64,9 @@
 	events        int
 	after         string  // ID of the last event.
 	version       *string // Version of the servers that wrote the text; nil before the first event.
-	// writers holds when each server last wrote a part of the text. It is not saved: the
-	// next owner does not know the servers.
-	writers  map[string]time.Time
+	// cutAt holds the servers whose answers to the item were cut, each with the time of the
+	// last cut. It is not saved: the next owner does not know these servers.
+	cutAt    map[string]time.Time
 	failures int // Failed attempts: internal server errors.
 	// unexpected counts the other answers that are no result. They say nothing about the
 	// item, but make its runs rarer.
@@ -224,9 +224,9 @@
 	return now.Sub(t.blockedSince)
 }
 
-// appendEvent adds the next event of a server to the text of the item. A comment is no
-// event.
-func (t *task) appendEvent(event forwarder.Event, server balancer.Backend, now time.Time) {
+// appendEvent adds the next event, of a server of a version, to the text of the item. A
+// comment is no event.
+func (t *task) appendEvent(event forwarder.Event, version string) {
 	if _, ok := sender.EventField(event.Raw, "data"); !ok {
 		return
 	}
@@ -242,11 +242,7 @@
 	t.events++
 	t.unexpected = 0
 	t.after = event.ID
-	t.version = &server.Version
-	if t.writers == nil {
-		t.writers = map[string]time.Time{}
-	}
-	t.writers[server.ID] = now
+	t.version = &version
 }
 
 // isOversized reports whether the text cannot be an answer to the item: it has more
@@ -270,7 +266,7 @@
 	dropped = t.events
 	t.text.Reset()
 	t.textJSONBytes = 0
-	t.events, t.after, t.version, t.writers = 0, "", nil, nil
+	t.events, t.after, t.version, t.cutAt = 0, "", nil, nil
 	return dropped
 }
 
@@ -409,17 +405,15 @@
 			return k.afterEnd(t, before), balancer.OutcomeDone
 		}
 		if err != nil {
+			t.recordCut(server.ID, k.now())
 			return k.afterError(t, server.ID, err)
 		}
 		if !utf8.Valid(event.Raw) {
 			return t.afterMalformed(server.ID, "malformed") // Events are UTF-8.
 		}
-		t.appendEvent(event, server, k.now())
+		t.appendEvent(event, server.Version)
 		if t.isOversized() {
-			k.endless.record(server.ID, k.now())
-			k.log(t.job.manifest.Job).WithFields(logrus.Fields{"item": t.item.ID, reporter.FieldBackendServer: server.ID, "dropped-events": t.discard()}).
-				Warn("item begins again: the answer is larger than the item allows")
-			return t.afterMalformed(server.ID, "oversized")
+			return k.afterOversized(t, server.ID)
 		}
 	}
 }
