--- a/internal/jobkeeper/malformed.go
+++ b/internal/jobkeeper/malformed.go
@@ -16,7 +16,7 @@
 // runs of the item become rarer.
 func (t *task) afterMalformed(server, cause string) (outcome, balancer.Outcome) {
 	o := outcome{retryDelay: backoff(t.recordMalformed() - 1), cause: cause}
-	if t.job.isOnlyMalformedAt(server) {
+	if only := t.job.recordMalformedAt(server); only {
 		return o, balancer.OutcomeLost
 	}
 	return o, balancer.OutcomeCancelled
@@ -30,9 +30,9 @@
 	return t.malformed
 }
 
-// isOnlyMalformedAt records a malformed answer of a server, and reports whether all such
+// recordMalformedAt records a malformed answer of a server, and reports whether all such
 // answers to items of the job were of this server.
-func (j *job) isOnlyMalformedAt(server string) bool {
+func (j *job) recordMalformedAt(server string) (only bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.malformedAt == nil {
@@ -102,9 +102,9 @@
 	return false
 }
 
-// discardDoubtfulText drops the text of an item if a part of it is from an answer that was
-// cut, of a server that gave answers without end at that time: it cannot be told where the
-// false events begin. A whole answer is not in doubt. It reports whether text was dropped.
+// discardDoubtfulText drops the text of an item if a part of it comes from a cut answer of
+// a server that gave answers without end around that time: any of its events may be false.
+// A whole answer is not in doubt. It reports whether text was dropped.
 func (k *Keeper) discardDoubtfulText(t *task) bool {
 	t.mu.Lock()
 	doubtful := k.endless.includes(t.cutAt)
