test: whole bodies whose decoded form takes more than they do

Clients that send whole bodies of legal size can end a process: what decoding makes of a body is not counted. The new cases send jobs, completions, uploads and release notes of many small parts to real processes, and check that the process lives, that its memory and descriptors stay under the limits of its own settings, and that an ordinary request is answered afterwards. Crowds and bounds are fixed here, before any change of the product.

--- a/internal/prover/intake_test.go
+++ b/internal/prover/intake_test.go
@@ -1,6 +1,7 @@
 package prover
 
 import (
+	"fmt"
 	"net/http"
 	"os"
 	"regexp"
@@ -26,41 +27,78 @@
 // TestIntake guards against callers that end a process or keep others out, with requests
 // that never become whole: the process ran out of memory or descriptors.
 func TestIntake(t *testing.T) {
+	const serviceHead = "POST /services/label/hostile HTTP/1.1\r\n" + devHead
 	for _, l := range tester.IntakeLoads() {
-		t.Run(l.Name, func(t *testing.T) {
-			p, err := tester.StartLimitedProcess(t.Context(), tester.Command{
-				Name: "dev", Path: tester.SharedBinaries(t).Entry, Arguments: []string{"dev", "--port", "0"}, Folder: t.TempDir(),
-			}, intakeDescriptors)
-			assert.NilError(t, err)
-			t.Cleanup(p.Kill)
-			var url string
-			tester.Eventually(t, waitTimeout, "the process prints its address", func() error {
-				text, err := os.ReadFile(p.Stdout)
-				if match := devAddress.FindSubmatch(text); match != nil {
-					url = string(match[1])
-					return nil
-				}
-				if err == nil {
-					err = merry.New("no address")
-				}
-				return err
-			})
-			answersLabel(t, url)
-			stop := l.Start(t, strings.TrimPrefix(url, "http://"), "POST /services/label/hostile HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer dev-workspace-key\r\n")
-			assert.Assert(t, p.Running(), "%s", p.Tail())
-			answersLabel(t, url)
-			peak, err := p.MemoryPeak()
-			assert.NilError(t, err)
-			descriptors, err := p.Descriptors()
-			assert.NilError(t, err)
-			stop()
-			t.Logf("peak %d MB, %d descriptors", peak>>20, descriptors)
-			assert.Assert(t, peak <= intakeMemory, "the process held %d MB", peak>>20)
-			assert.Assert(t, descriptors < intakeDescriptors*9/10, "%d of %d descriptors are open", descriptors, intakeDescriptors)
-		})
+		t.Run(l.Name, func(t *testing.T) { withstands(t, l, serviceHead) })
 	}
 }
 
+// devHead is a part of the heads of requests.
+const devHead = "Host: entry\r\nAuthorization: Bearer dev-workspace-key\r\n"
+
+// TestDecodedBodies guards against whole requests of legal size that end a process by
+// what is made of them: decoded, copied or kept.
+func TestDecodedBodies(t *testing.T) {
+	const (
+		completionHead = "POST /v1/chat/completions HTTP/1.1\r\n" + devHead
+		uploadHead     = "PUT /v1/batches/job-{connection} HTTP/1.1\r\n" + devHead
+		operatorHead   = "POST /operator/apply HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer dev-operator-key\r\n"
+	)
+	fields := make([]string, 300_000)
+	for n := range fields {
+		fields[n] = fmt.Sprintf(`"x%d":0`, n)
+	}
+	message := `{"role":"user","content":"` + strings.Repeat("x", 200_000) + `"}`
+	line := `","url":"/v1/chat/completions","body":{"model":"example-lm","messages":[0` + strings.Repeat(",0", 500_000) + `]}}` + "\n"
+	for _, c := range []struct {
+		head string
+		load tester.IntakeLoad
+	}{
+		{completionHead, tester.WholeBodies("completions of many messages", 20, `{"model":"example-lm","messages":[`, `0`, `]}`)},
+		{completionHead, tester.WholeBodies("completions of large messages", 20, `{"model":"example-lm","messages":[`, message, `]}`)},
+		{completionHead, tester.WholeRequests("completions with many fields", 20, `{`+strings.Join(fields, ",")+`}`)},
+		{completionHead, tester.WholeRequests("deep nesting", 20, `{"messages":`+strings.Repeat("[", 4<<20-20))},
+		{uploadHead, tester.WholeRequests("lines of many values", 20, `{"custom_id":"a`+line+`{"custom_id":"b`+line+`{"custom_id":"c`+line)},
+		{operatorHead, tester.WholeBodies("release notes of many values", 5, `x = [`, `[]`, `]`)},
+	} {
+		t.Run(c.load.Name, func(t *testing.T) { withstands(t, c.load, c.head) })
+	}
+}
+
+// withstands checks that a process survives a load within its limits and still answers.
+func withstands(t *testing.T, l tester.IntakeLoad, head string) {
+	t.Helper()
+	p, err := tester.StartLimitedProcess(t.Context(), tester.Command{
+		Name: "dev", Path: tester.SharedBinaries(t).Entry, Arguments: []string{"dev", "--port", "0"}, Folder: t.TempDir(),
+	}, intakeDescriptors)
+	assert.NilError(t, err)
+	t.Cleanup(p.Kill)
+	var url string
+	tester.Eventually(t, waitTimeout, "the process prints its address", func() error {
+		text, err := os.ReadFile(p.Stdout)
+		if match := devAddress.FindSubmatch(text); match != nil {
+			url = string(match[1])
+			return nil
+		}
+		if err == nil {
+			err = merry.New("no address")
+		}
+		return err
+	})
+	answersLabel(t, url)
+	stop := l.Start(t, strings.TrimPrefix(url, "http://"), head)
+	assert.Assert(t, p.Running(), "%s", p.Tail())
+	answersLabel(t, url)
+	peak, err := p.MemoryPeak()
+	assert.NilError(t, err)
+	descriptors, err := p.Descriptors()
+	assert.NilError(t, err)
+	stop()
+	t.Logf("peak %d MB, %d descriptors", peak>>20, descriptors)
+	assert.Assert(t, peak <= intakeMemory, "the process held %d MB", peak>>20)
+	assert.Assert(t, descriptors < intakeDescriptors*9/10, "%d of %d descriptors are open", descriptors, intakeDescriptors)
+}
+
 // answersLabel checks that an ordinary request is answered. Refusals before that are
 // allowed.
 func answersLabel(t *testing.T, url string) {
--- a/internal/tester/intake.go
+++ b/internal/tester/intake.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"path/filepath"
@@ -29,32 +30,59 @@
 	pieceBytes          = 16 << 10
 )
 
-// An IntakeLoad is a group of clients that send requests without end.
+// wholeAnswerTimeout bounds the wait for the answer to a whole request.
+const wholeAnswerTimeout = 15 * time.Second
+
+// An IntakeLoad is a group of clients that send requests without end, or whole requests
+// that take much to process.
 type IntakeLoad struct {
 	Name        string
 	Connections int
-	send        func(w *bufio.Writer, head string) error
+	// Whole requests are sent to their end, and Start waits for their answers.
+	Whole bool
+	send  func(w *bufio.Writer, head string) error
+}
+
+// connectionMark is replaced by the number of the connection in the head of a request.
+const connectionMark = "{connection}"
+
+// WholeBodies returns a load of requests with a body of the largest size that operators
+// allow. The body repeats a part between a beginning and an end.
+func WholeBodies(name string, connections int, begin, part, end string) IntakeLoad {
+	parts := (unfinishedBodyBytes - len(begin) - len(end) + 1) / (len(part) + 1)
+	body := begin + strings.TrimSuffix(strings.Repeat(part+",", parts), ",") + end
+	return WholeRequests(name, connections, body)
+}
+
+// WholeRequests returns a load of requests with a body.
+func WholeRequests(name string, connections int, body string) IntakeLoad {
+	return IntakeLoad{Name: name, Connections: connections, Whole: true, send: func(w *bufio.Writer, head string) (err error) {
+		if _, err = fmt.Fprintf(w, "%sContent-Length: %d\r\n\r\n", head, len(body)); err == nil {
+			_, err = w.WriteString(body)
+		}
+		return err
+	}}
 }
 
 // IntakeLoads returns the loads that a listener must withstand. They were fixed before
 // the limits of internal/intaker were written.
 func IntakeLoads() []IntakeLoad {
 	return []IntakeLoad{
-		{"heads without end", 300, sendEndlessHead},
-		{"empty lines before a request", 300, sendEmptyLines},
-		{"bodies that stop before their end", 100, func(w *bufio.Writer, head string) error {
+		{Name: "heads without end", Connections: 300, send: sendEndlessHead},
+		{Name: "empty lines before a request", Connections: 300, send: sendEmptyLines},
+		{Name: "bodies that stop before their end", Connections: 100, send: func(w *bufio.Writer, head string) error {
 			return sendBody(w, head, unfinishedBodyBytes)
 		}},
-		{"bodies in pieces that stop before their end", 100, func(w *bufio.Writer, head string) error {
+		{Name: "bodies in pieces that stop before their end", Connections: 100, send: func(w *bufio.Writer, head string) error {
 			return sendBody(w, head, pieceBytes)
 		}},
-		{"large chunks without the last", 100, func(w *bufio.Writer, head string) error {
+		{Name: "large chunks without the last", Connections: 100, send: func(w *bufio.Writer, head string) error {
 			return sendChunks(w, head, largeChunkBytes, unfinishedBodyBytes)
 		}},
-		{"small chunks without the last", 60, func(w *bufio.Writer, head string) error {
+		{Name: "small chunks without the last", Connections: 60, send: func(w *bufio.Writer, head string) error {
 			return sendChunks(w, head, smallChunkBytes, unfinishedBodyBytes/4)
 		}},
-		{"connections without a request", 600, func(*bufio.Writer, string) error { return nil }},
+		{Name: "connections without a request", Connections: 600, send: func(*bufio.Writer, string) error { return nil }},
 	}
 }
 
@@ -101,12 +129,14 @@
 }
 
 // Start opens the connections of a load, sends on all of them at once, and returns when
-// each has sent what it sends or was closed. The connections stay open until the test
-// ends or stop is called. The head has no empty line at its end.
+// each has sent what it sends, and has an answer to a whole request, or was closed. The
+// connections stay open until the test ends or stop is called. The head has no empty line
+// at its end, and may have connectionMark in it.
 func (l IntakeLoad) Start(t testing.TB, address, head string) (stop func()) {
 	t.Helper()
 	var mu sync.Mutex
 	var conns []net.Conn
+	answers := map[string]int{} // By status line.
 	stop = func() {
 		mu.Lock()
 		defer mu.Unlock()
@@ -116,7 +146,7 @@
 	}
 	t.Cleanup(stop)
 	var sending sync.WaitGroup
-	for range l.Connections {
+	for n := range l.Connections {
 		sending.Go(func() {
 			c, err := (&net.Dialer{Timeout: intakeWriteTimeout}).DialContext(t.Context(), "tcp", address)
 			if err != nil {
@@ -127,12 +157,23 @@
 			mu.Unlock()
 			_ = c.SetWriteDeadline(time.Now().Add(intakeWriteTimeout))
 			w := bufio.NewWriterSize(c, pieceBytes)
-			if l.send(w, head) == nil { // Closed connections are allowed.
+			if l.send(w, strings.ReplaceAll(head, connectionMark, strconv.Itoa(n))) == nil { // Closed connections are allowed.
 				_ = w.Flush()
 			}
+			if l.Whole {
+				_ = c.SetReadDeadline(time.Now().Add(wholeAnswerTimeout))
+				status := make([]byte, len("HTTP/1.1 200"))
+				_, _ = io.ReadFull(c, status) // Refusals and closed connections are allowed.
+				mu.Lock()
+				answers[string(status)]++
+				mu.Unlock()
+			}
 		})
 	}
 	sending.Wait()
+	if l.Whole {
+		t.Logf("answers: %v", answers)
+	}
 	return stop
 }
 
