fix: a job with too many items or fields is refused before it is decoded

Callers saw 400 for a submission of 4 MB with 1.4 million empty items, and so did everybody else while the process ran out of memory: the list was decoded whole, and looked at afterwards. The budget counts a body as it is received, not what decoding makes of it.

What is decoded and stored at once is bounded in the budget of the process (BeginProcessing): large bodies, and separately small ones, a sixth of the budget each, and one body above that alone.

The largest job is still accepted (TestLargestRequests).

--- a/internal/intaker/budget.go
+++ b/internal/intaker/budget.go
@@ -61,6 +61,8 @@
 	logger logrus.FieldLogger
 	limit  int64
 
+	processing processingLimit
+
 	mu       sync.Mutex
 	used     int64
 	burst    bool // More than half was in use since buffers were last released.
@@ -75,8 +77,9 @@
 	if memoryMB <= 0 {
 		memoryMB = defaultMemoryMB
 	}
+	limit := int64(memoryMB) << 20 / budgetDivisor
 	return &Budget{
-		clock: clock, logger: logger, limit: int64(memoryMB) << 20 / budgetDivisor,
+		clock: clock, logger: logger, limit: limit, processing: newProcessingLimit(limit),
 		accounts: map[*Account]struct{}{}, released: make(chan struct{}, 1),
 	}
 }
