fix: an instance has room for a bounded number of bytes of open jobs

A caller that submitted one large job after the other ended the process: each accepted job stayed in memory whole, bodies included, until it was removed minutes after its submission. Only the tokens that an item states were limited, and an item may state none.

A further job is refused with 503, not run, unless it was accepted before; a single job always finds room. A job that is done, was ended or was lost to another instance keeps the IDs and tokens of its items only; a body that is asked for later is read from the store. Jobs that are taken over count, but are not refused. The gauge jobkeeper.held shows the bytes.

TestJobMemory shows that room is given back on each of the ways.

--- a/internal/jobkeeper/flusher.go
+++ b/internal/jobkeeper/flusher.go
@@ -280,6 +280,7 @@
 	j.pending = j.pending[len(a.results):]
 	j.pendingSince = k.now()
 	if a.next.Done {
+		k.releaseItems(j)
 		k.log(j.manifest.Job).WithFields(logrus.Fields{"total": a.next.Total, "segments": a.next.Segments, "age-ms": k.now().Sub(a.next.SubmittedAt).Milliseconds()}).Info("job done")
 	}
 	j.notifyReaders()
--- a/internal/jobkeeper/job.go
+++ b/internal/jobkeeper/job.go
@@ -157,10 +157,12 @@
 
 // A job is a job that this instance owns. mu guards the fields below it.
 type job struct {
-	manifest  Manifest
-	takenOver bool // It was not accepted by this process.
+	manifest  Manifest // Its Items are guarded by mu.
+	held      int64    // Bytes of the manifest as it was submitted.
+	takenOver bool     // It was not accepted by this process.
 
 	mu           sync.Mutex
+	released     bool // Only the IDs and tokens of the items are left in the manifest.
 	record       Record
 	version      int64     // Version of the record in the store.
 	listed       []Result  // In the store.
@@ -183,7 +185,7 @@
 }
 
 func newJob(m Manifest, r Record, version int64, listed []Result) *job {
-	j := &job{manifest: m, record: r, version: version, listed: listed, unfinished: map[string]*task{}, changed: make(chan struct{})}
+	j := &job{manifest: m, held: m.heldBytes(), record: r, version: version, listed: listed, unfinished: map[string]*task{}, changed: make(chan struct{})}
 	known := make(map[string]Result, len(listed))
 	missing := make(map[string]int, len(m.Items)) // Results that are not listed, by item.
 	for i := range m.Items {
@@ -289,6 +291,8 @@
 
 // tokensOf returns the tokens of the items of some results.
 func (j *job) tokensOf(results []Result) (n int64) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
 	tokens := make(map[string]int64, len(j.manifest.Items))
 	for i := range j.manifest.Items {
 		tokens[j.manifest.Items[i].ID] = j.manifest.Items[i].Tokens
--- a/internal/jobkeeper/keeper.go
+++ b/internal/jobkeeper/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -73,10 +74,13 @@
 	Terms         Terms
 	Placer        Placer
 	BackendClient forwarder.BackendClient
-	Retention     time.Duration // How long a job and its results are kept after its submission.
-	Clock         storer.Clock
-	Logger        logrus.FieldLogger
-	Meter         metric.Meter
+	// MaxHeldBytes limits the manifests of open jobs that this instance accepts; 0 means no
+	// limit. Jobs that it takes over count, but are not refused.
+	MaxHeldBytes int64
+	Retention    time.Duration // How long a job and its results are kept after its submission.
+	Clock        storer.Clock
+	Logger       logrus.FieldLogger
+	Meter        metric.Meter
 }
 
 // A Keeper runs the jobs of this instance and reads those of others.
@@ -86,6 +90,7 @@
 	queues        queueSet
 	cache         jobCache
 	endless       endlessAnswerSet
+	memory        jobMemory
 	admitter      *admitter.Admitter
 	items         metric.Int64Counter
 	sweepRequests chan struct{} // Requests a scan of the records of all jobs.
@@ -127,6 +132,7 @@
 	defer func() { err = merry.Prepend(err, "create job keeper") }()
 	k = &Keeper{
 		cfg:           cfg,
+		memory:        jobMemory{limit: cfg.MaxHeldBytes},
 		admitter:      admitter.New(cfg.Clock),
 		sweepRequests: make(chan struct{}, 1),
 		members:       map[string]enroller.Member{},
@@ -146,7 +152,7 @@
 	k.cache.init()
 	cfg.Links.Handle(linker.KindJob, linker.HandlerFunc(k.handleJob))
 	k.items, err = cfg.Meter.Int64Counter("jobkeeper.runs", metric.WithDescription("Runs of items by what ended them"))
-	return k, err
+	return k, errors.Join(err, k.memory.register(cfg.Meter))
 }
 
 func (k *Keeper) shard(id string) *shard {
@@ -255,6 +261,16 @@
 	if refusal := k.checkManifest(m); refusal != nil {
 		return k.refuseUnlessAccepted(ctx, m, refusal)
 	}
+	held := m.heldBytes()
+	if !k.memory.take(held) {
+		return k.refuseUnlessAccepted(ctx, m, memoryRefusal())
+	}
+	accepted := false
+	defer func() {
+		if !accepted {
+			k.memory.add(-held)
+		}
+	}()
 	m.Guarantees = k.currentGuarantees(m)
 	record := Record{
 		Owner:       k.cfg.Self.ID,
@@ -277,6 +293,7 @@
 		return k.submitRefusal(m, err)
 	}
 	if created {
+		accepted = true
 		k.addOwned(newJob(m, record, version, nil))
 		k.log(m.Job).WithFields(logrus.Fields{"workspace": m.Workspace, "items": len(m.Items), "version": version}).Info("job accepted")
 		return nil
@@ -346,8 +363,14 @@
 func (k *Keeper) addOwned(j *job) {
 	s := k.shard(j.manifest.Job)
 	s.mu.Lock()
+	former := s.jobs[j.manifest.Job]
 	s.jobs[j.manifest.Job] = j
 	s.mu.Unlock()
+	if former != nil { // Of an earlier term.
+		former.mu.Lock()
+		k.releaseItems(former)
+		former.mu.Unlock()
+	}
 	k.mu.Lock()
 	k.ownedSince[j.manifest.Job] = k.now()
 	k.mu.Unlock()
@@ -391,6 +414,7 @@
 	for _, t := range j.unfinished {
 		t.stop()
 	}
+	k.releaseItems(j)
 	j.notifyReaders()
 	j.mu.Unlock()
 }
--- /dev/null
+++ b/internal/jobkeeper/memory_test.go
@@ -0,0 +1,94 @@
+package jobkeeper
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/quetzalhitch/quetzalhitch/internal/emulator/storeemulator"
+	"github.com/quetzalhitch/quetzalhitch/pkg/refuser"
+)
+
+// TestJobMemory guards against callers that fill the memory of an instance with jobs, and
+// against room that is not given back.
+func TestJobMemory(t *testing.T) {
+	const bodyBytes = 10_000
+	large := func(id string) Manifest {
+		m := manifest("i1", "i2")
+		m.Job = id
+		m.Items[1].Body = []byte(strings.Repeat("x", bodyBytes))
+		return m
+	}
+	held := func(k *Keeper) int64 {
+		k.memory.mu.Lock()
+		defer k.memory.mu.Unlock()
+		return k.memory.used
+	}
+	// start returns a keeper with room for one job, whose items run until release.
+	start := func(t *testing.T) (c *testCluster, k *Keeper, release func()) {
+		t.Helper()
+		c = newTestCluster()
+		hold := make(chan struct{})
+		c.client.hold = hold
+		k = c.startKeeper(t, "k1")
+		k.memory.limit = large("j1").heldBytes()
+		submit(t, k, large("j1"))
+		refusal := k.Submit(t.Context(), large("j2"))
+		assert.Assert(t, refusal != nil, "accepted")
+		assert.Equal(t, refusal.Code, refuser.Overloaded)
+		assert.Equal(t, refusal.Outcome, refuser.NotRun)
+		submit(t, k, large("j1")) // Repeated.
+		return c, k, func() { close(hold) }
+	}
+	// assertRoom waits until another job fits.
+	assertRoom := func(t *testing.T, k *Keeper) {
+		t.Helper()
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if n := held(k); n != 0 {
+				return poll.Continue("%d bytes are held", n)
+			}
+			return poll.Success()
+		})
+		submit(t, k, large("j3"))
+		assert.Equal(t, held(k), k.memory.limit)
+	}
+	t.Run("a job that is done makes room, and its bodies can be read", func(t *testing.T) {
+		_, k, release := start(t)
+		release()
+		assertRoom(t, k)
+		body, refusal := k.Body(t.Context(), workspace, "j1", "i2")
+		assert.Assert(t, refusal == nil, "%v", refusal)
+		assert.Equal(t, len(body), bodyBytes)
+		_, refusal = k.Body(t.Context(), workspace, "j1", "i9")
+		assert.Equal(t, refusal, notFound)
+	})
+	t.Run("a job that was ended makes room", func(t *testing.T) {
+		_, k, release := start(t)
+		defer release()
+		assert.Assert(t, k.End(t.Context(), workspace, "j1") == nil)
+		assertRoom(t, k)
+	})
+	t.Run("a job that cannot be stored makes room", func(t *testing.T) {
+		c := newTestCluster()
+		k := c.startKeeper(t, "k1")
+		c.store.SetFault(func(string) storeemulator.Fault { return storeemulator.Down })
+		assert.Assert(t, k.Submit(t.Context(), large("j1")) != nil)
+		assert.Equal(t, held(k), int64(0))
+	})
+	t.Run("a job that is taken over counts", func(t *testing.T) {
+		c, _, release := start(t)
+		defer release()
+		other := c.startKeeper(t, "k2")
+		other.memory.limit = 1
+		c.removeFirstMember(t, other)
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if n := held(other); n != large("j1").heldBytes() {
+				return poll.Continue("%d bytes are held", n)
+			}
+			return poll.Success()
+		}, poll.WithTimeout(10*time.Second))
+	})
+}
--- a/internal/jobkeeper/query.go
+++ b/internal/jobkeeper/query.go
@@ -326,7 +326,7 @@
 			response.View, response.Owned = k.readConfirmed(ctx, j, q.Workspace, q.After, q.Wait)
 		}
 	case operationBody:
-		response.Body, response.Found = findBody(j, q.Workspace, q.Item)
+		response.Body, response.Found, response.Owned = findBody(j, q.Workspace, q.Item)
 	case operationEnd:
 		response.Found = j.manifest.Workspace == q.Workspace
 		if response.Found {
@@ -340,10 +340,14 @@
 // Body returns the request body of an item.
 func (k *Keeper) Body(ctx context.Context, workspace, id, item string) ([]byte, *refuser.Refusal) {
 	if j, ok := k.owned(id); ok {
-		if body, found := findBody(j, workspace, item); found {
+		body, found, held := findBody(j, workspace, item)
+		switch {
+		case found:
 			return body, nil
+		case held:
+			return nil, notFound
 		}
-		return nil, notFound
+		return k.readBody(ctx, workspace, id, item)
 	}
 	response, refusal := k.askOwner(ctx, jobRequest{Operation: operationBody, Job: id, Workspace: workspace, Item: item})
 	switch {
@@ -354,6 +358,11 @@
 	case response.Owned:
 		return nil, notFound
 	}
+	return k.readBody(ctx, workspace, id, item)
+}
+
+// readBody reads the request body of an item from the store.
+func (k *Keeper) readBody(ctx context.Context, workspace, id, item string) ([]byte, *refuser.Refusal) {
 	c, refusal := k.refreshCached(ctx, id)
 	if refusal != nil {
 		return nil, refusal
@@ -373,14 +382,18 @@
 	return nil, notFound
 }
 
-func findBody(j *job, workspace, item string) (body []byte, found bool) {
+// findBody returns the request body of an item. held is false if the job has the item, but
+// no longer its body.
+func findBody(j *job, workspace, item string) (body []byte, found, held bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
 	if j.manifest.Workspace != workspace {
-		return nil, false
+		return nil, false, true
 	}
 	for _, i := range j.manifest.Items {
 		if i.ID == item {
-			return i.Body, true
+			return i.Body, !j.released, !j.released
 		}
 	}
-	return nil, false
+	return nil, false, true
 }
