fix: release notes are decoded one at a time, and have at most 1 MB

Five release notes of 4 MB at once took a process of 512 MB to 846 to 876 MB: the TOML library takes some forty times their size for many small values, and nothing bounded how many were decoded at once. Only holders of an operator key get there.

The platform holds no configuration above 1 MB, so a larger body is refused with 413 before it is decoded, and one note is decoded at a time.

--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -9,6 +9,7 @@
 	"errors"
 	"net/url"
 	"strings"
+	"sync"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/gofiber/fiber/v3"
@@ -22,8 +23,13 @@
 	"github.com/quetzalhitch/quetzalhitch/pkg/refuser"
 )
 
-// keyPrefix makes leaked keys recognisable.
-const keyPrefix = "qh-"
+const (
+	// keyPrefix makes leaked keys recognisable.
+	keyPrefix = "qh-"
+	// maxBodyBytes is the maximum size of the body of a call. The platform does not hold
+	// larger configurations.
+	maxBodyBytes = storer.MaxValueBytes
+)
 
 type configuration interface {
 	Apply(ctx context.Context, note declarer.ReleaseNote, dryRun bool) (publisher.Result, error)
@@ -49,7 +55,8 @@
 
 // An Operator handles the calls of operators.
 type Operator struct {
-	cfg Config
+	cfg      Config
+	decoding sync.Mutex // Held while a release note is decoded, which takes many times its size.
 }
 
 // New returns an Operator.
@@ -72,13 +79,16 @@
 		if !strings.EqualFold(scheme, "Bearer") || !o.cfg.Keys.IsOperatorKey(key) {
 			return refuser.New(refuser.OperatorKeyRequired, refuser.NotRun, "an operator key is needed in Authorization: Bearer")
 		}
+		if len(c.Body()) > maxBodyBytes {
+			return refuser.New(refuser.BodyTooLarge, refuser.NotRun, "the body is larger than a configuration may be")
+		}
 		return next(c)
 	}
 }
 
 func (o *Operator) apply(c fiber.Ctx) error {
 	file := strings.Clone(c.Query(administrator.ParamFile, "release note"))
-	note, faults := declarer.ParseReleaseNote(file, c.Body())
+	note, faults := o.parseNote(file, c.Body())
 	if len(faults) > 0 {
 		return o.writeError(c, administrator.ApplyAnswer{}, &declarer.FaultsError{Faults: faults})
 	}
@@ -89,6 +99,12 @@
 	return c.JSON(answer)
 }
 
+func (o *Operator) parseNote(file string, text []byte) (declarer.ReleaseNote, []declarer.Fault) {
+	o.decoding.Lock()
+	defer o.decoding.Unlock()
+	return declarer.ParseReleaseNote(file, text)
+}
+
 func (o *Operator) status(c fiber.Ctx) error {
 	s, _ := o.cfg.Configuration.Current()
 	return c.JSON(administrator.StatusAnswer{
