fix: the search for keys in a body does not copy it

A body with escapes was decoded whole, up to twice for each key, to find a key in it: about three times its size for each request that runs, which no budget counts. The text is decoded into a buffer of 32 KB that is searched each time it is full.

TestBodyContains moves keys across the end of the buffer.

--- a/internal/sender/keysearch.go
+++ b/internal/sender/keysearch.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"net/url"
 	"strconv"
 	"strings"
@@ -54,19 +55,60 @@
 	return false
 }
 
-// BodyContains reports whether a body contains the key, verbatim or escaped.
+// BodyContains reports whether a body contains the key, verbatim or escaped. It does not
+// copy the body.
 func BodyContains(body []byte, key string) bool {
-	keyBytes := []byte(key)
-	switch {
-	case bytes.Contains(body, keyBytes):
+	if bytes.Contains(body, []byte(key)) {
 		return true
-	case mayBeEscapedInJSON(body, key) && bytes.Contains(unescapeJSON(body), keyBytes):
-		return true
-	case bytes.IndexByte(body, '%') >= 0:
-		return strings.Contains(unescapePercent(string(body)), key)
-	default:
+	}
+	if mayBeEscapedInJSON(body, key) {
+		s := newKeySearch(key)
+		unescapeJSON(body, s)
+		if s.finish() {
+			return true
+		}
+	}
+	if bytes.IndexByte(body, '%') < 0 {
 		return false
 	}
+	s := newKeySearch(key)
+	unescapePercentTo(s, body)
+	return s.finish()
+}
+
+// searchBytes is the part of a decoded text that is searched at a time.
+const searchBytes = 32 << 10
+
+// A keySearch searches for a key in a text that is written byte by byte.
+type keySearch struct {
+	key   []byte
+	text  []byte // At most searchBytes and the length of the key.
+	found bool
+}
+
+func newKeySearch(key string) *keySearch {
+	return &keySearch{key: []byte(key), text: make([]byte, 0, searchBytes+len(key))}
+}
+
+// WriteByte implements io.ByteWriter.
+func (s *keySearch) WriteByte(b byte) error {
+	if len(s.text) == cap(s.text) {
+		s.search()
+	}
+	s.text = append(s.text, b)
+	return nil
+}
+
+// search searches what was written, and keeps the part in which the key may begin.
+func (s *keySearch) search() {
+	s.found = s.found || bytes.Contains(s.text, s.key)
+	s.text = append(s.text[:0], s.text[max(0, len(s.text)-len(s.key)+1):]...)
+}
+
+// finish reports whether the text has the key.
+func (s *keySearch) finish() bool {
+	s.search()
+	return s.found
 }
 
 // mayBeEscapedInJSON reports whether the body has escapes that can encode
@@ -78,27 +120,25 @@
 }
 
 // unescapeJSON decodes escaped ASCII characters and leaves other escapes as is.
-func unescapeJSON(body []byte) []byte {
-	out := make([]byte, 0, len(body))
+func unescapeJSON(body []byte, w *keySearch) {
 	for i := 0; i < len(body); i++ {
 		if body[i] != '\\' || i+1 == len(body) {
-			out = append(out, body[i])
+			_ = w.WriteByte(body[i])
 			continue
 		}
 		i++
 		if body[i] != 'u' || i+4 >= len(body) {
-			out = append(out, body[i])
+			_ = w.WriteByte(body[i])
 			continue
 		}
 		code, err := strconv.ParseUint(string(body[i+1:i+5]), 16, 16)
 		if err != nil || code > 0x7f {
-			out = append(out, body[i])
+			_ = w.WriteByte(body[i])
 			continue
 		}
-		out = append(out, byte(code))
+		_ = w.WriteByte(byte(code))
 		i += 4
 	}
-	return out
 }
 
 // unescapePercent decodes valid percent escapes. It keeps plus signs, which keys
@@ -108,15 +148,20 @@
 		return decoded
 	}
 	var b strings.Builder
+	unescapePercentTo(&b, []byte(text))
+	return b.String()
+}
+
+// unescapePercentTo writes a text with its valid percent escapes decoded.
+func unescapePercentTo(w io.ByteWriter, text []byte) {
 	for i := 0; i < len(text); i++ {
 		if text[i] == '%' && i+2 < len(text) {
-			if code, err := strconv.ParseUint(text[i+1:i+3], 16, 8); err == nil {
-				b.WriteByte(byte(code))
+			if code, err := strconv.ParseUint(string(text[i+1:i+3]), 16, 8); err == nil {
+				_ = w.WriteByte(byte(code)) // Neither a search nor a strings.Builder fails.
 				i += 2
 				continue
 			}
 		}
-		b.WriteByte(text[i])
+		_ = w.WriteByte(text[i])
 	}
-	return b.String()
 }
