fix: completions are parsed in parts, and a bounded number of bytes at once

Twenty completions of 4 MB took quetzalhitch dev (512 MB) to 3.5 GB: the list of messages was decoded whole to find its first sixteen, all fields of the body were copied, shared parts were copied and kept while the request ran, and so was the body itself.

Values are parts of the body now, found with the streaming decoder of the standard library; messages behind the sixteenth are not looked at; a body has at most 256 fields, or is refused with 400.

In the same process, the emulated engines decoded all messages and kept the bodies of 4,096 requests. They decode messages one by one, one document at a time, and keep 16 MB of bodies.

--- a/internal/acceptor/completion.go
+++ b/internal/acceptor/completion.go
@@ -18,6 +18,10 @@
 // prompt. Those that many requests share stand at the beginning.
 const maxSharedParts = 16
 
+// maxFields bounds the fields of a completion request. Known engines define fewer than a
+// hundred.
+const maxFields = 256
+
 // A Completion holds the fields of a completion request that routing uses.
 type Completion struct {
 	Model  string
@@ -61,11 +65,15 @@
 // sharedParts returns the first messages but the last one. Engines decide whether
 // messages that are no list are valid.
 func sharedParts(messages json.RawMessage) (parts []string) {
-	var list []json.RawMessage
-	if json.Unmarshal(messages, &list) != nil || len(list) == 0 {
+	decoder := json.NewDecoder(bytes.NewReader(messages))
+	if start, err := decoder.Token(); err != nil || start != json.Delim('[') {
 		return nil
 	}
-	for _, message := range list[:min(len(list)-1, maxSharedParts)] {
+	for range maxSharedParts {
+		message, err := nextValue(decoder, messages)
+		if err != nil || !decoder.More() {
+			return parts
+		}
 		var compact bytes.Buffer
 		if json.Compact(&compact, message) == nil {
 			parts = append(parts, compact.String())
@@ -74,7 +82,23 @@
 	return parts
 }
 
-// topLevelFields splits a JSON object into its fields.
+// A skippedValue is a JSON value that is not decoded.
+type skippedValue struct{}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (*skippedValue) UnmarshalJSON([]byte) error { return nil }
+
+// nextValue reads the next value of the text that a decoder decodes. The value is a part
+// of the text, and not copied.
+func nextValue(decoder *json.Decoder, text []byte) (value json.RawMessage, err error) {
+	start := decoder.InputOffset()
+	if err := decoder.Decode(&skippedValue{}); err != nil {
+		return nil, err
+	}
+	return bytes.TrimLeft(text[start:decoder.InputOffset()], " \t\r\n,:"), nil
+}
+
+// topLevelFields splits a JSON object into its fields. The values are parts of the body.
 func topLevelFields(body []byte) (map[string]json.RawMessage, *refuser.Refusal) {
 	decoder := json.NewDecoder(bytes.NewReader(body))
 	start, err := decoder.Token()
@@ -86,12 +110,15 @@
 	}
 	fields := map[string]json.RawMessage{}
 	for decoder.More() {
+		if len(fields) == maxFields {
+			return nil, badRequest("the body has too many fields")
+		}
 		name, err := decoder.Token()
 		if err != nil {
 			return nil, badRequest("the body is not valid JSON")
 		}
-		var value json.RawMessage
-		if err := decoder.Decode(&value); err != nil {
+		value, err := nextValue(decoder, body)
+		if err != nil {
 			return nil, badRequest("the body is not valid JSON")
 		}
 		key := name.(string) // In an object, the decoder returns only strings as names.
--- a/internal/acceptor/online.go
+++ b/internal/acceptor/online.go
@@ -1,7 +1,6 @@
 package acceptor
 
 import (
-	"bytes"
 	"net/url"
 	"slices"
 	"strings"
@@ -11,6 +10,8 @@
 	"github.com/google/uuid"
 
 	"github.com/quetzalhitch/quetzalhitch/internal/dispatcher"
+	"github.com/quetzalhitch/quetzalhitch/internal/registrar"
+	"github.com/quetzalhitch/quetzalhitch/internal/retrier"
 	"github.com/quetzalhitch/quetzalhitch/internal/sender"
 	"github.com/quetzalhitch/quetzalhitch/pkg/declarer"
 	"github.com/quetzalhitch/quetzalhitch/pkg/refuser"
@@ -40,16 +41,29 @@
 	if refusal != nil {
 		return refusal
 	}
-	completion, refusal := ParseCompletion(q.Body)
+	completion, refusal := a.parseCompletion(q.Body)
 	if refusal != nil {
 		return refusal
 	}
 	q.Path = string(c.Request().URI().PathOriginal())
-	q.Prefix, q.Stream, q.SharedParts = completion.Prefix, completion.Stream, completion.SharedParts
+	q.Prefix, q.Stream = completion.Prefix, completion.Stream
 	route, refusal := a.completionRoute(c.Get(headerRoute), completion.Model)
+	for _, part := range completion.SharedParts {
+		q.Parts = append(q.Parts, retrier.DigestPart(registrar.PoolName(route), part))
+	}
 	return a.authorise(c, q, route, refusal)
 }
 
+// parseCompletion parses a body when there is room for it in the budget of the process.
+func (a *Acceptor) parseCompletion(body []byte) (completion Completion, refusal *refuser.Refusal) {
+	end, err := a.cfg.Gate.Budget.BeginProcessing(a.baseContext, len(body))
+	if err != nil {
+		return completion, overloaded()
+	}
+	defer end()
+	return ParseCompletion(body)
+}
+
 // completionRoute returns the route named by the header, or else the first route
 // of the model. A named route must serve the model in the body.
 func (a *Acceptor) completionRoute(name, model string) (declarer.Route, *refuser.Refusal) {
@@ -132,7 +146,7 @@
 		ID:             uuid.NewString(), // Not the caller's X-Request-Id, which could hold its key and must not be logged.
 		Method:         strings.Clone(c.Method()),
 		Query:          string(r.URI().QueryString()),
-		Body:           bytes.Clone(r.Body()),
+		Body:           r.Body(), // Not a buffer of the server, see readBody.
 		IdempotencyKey: string(r.Header.Peek(headerIdempotencyKey)),
 	}
 	for name, value := range r.Header.All() {
--- a/internal/dispatcher/dispatch.go
+++ b/internal/dispatcher/dispatch.go
@@ -58,9 +58,7 @@
 	r := &run{dispatcher: d, request: q, writer: w, outbound: q.outbound(), pool: registrar.PoolName(q.Route), started: now}
 	r.deadline = now.Add(deadlineOf(time.Duration(q.Route.Deadline)))
 	r.digest = contentOf(r.pool, r.outbound).Digest()
-	for _, part := range q.SharedParts {
-		r.parts = append(r.parts, retrier.DigestPart(r.pool, part))
-	}
+	r.parts = q.Parts
 	r.partCheck = retrier.PartCheck{States: d.cfg.Parts, Trials: d.cfg.Trials, Parts: r.parts}
 	return r
 }
--- a/internal/dispatcher/dispatch_test.go
+++ b/internal/dispatcher/dispatch_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/quetzalhitch/quetzalhitch/internal/emulator/engineemulator"
 	"github.com/quetzalhitch/quetzalhitch/internal/emulator/serviceemulator"
+	"github.com/quetzalhitch/quetzalhitch/internal/registrar"
+	"github.com/quetzalhitch/quetzalhitch/internal/retrier"
 	"github.com/quetzalhitch/quetzalhitch/internal/sender"
 	"github.com/quetzalhitch/quetzalhitch/pkg/declarer"
 	"github.com/quetzalhitch/quetzalhitch/pkg/refuser"
@@ -233,12 +235,13 @@
 	var refusal *refuser.Refusal
 	for n := range 8 {
 		q := completion(fmt.Sprintf("poison %d", n), 5, true)
-		q.SharedParts = []string{"first", "poison"}
+		first, poison := retrier.DigestPart(registrar.PoolName(q.Route), "first"), retrier.DigestPart(registrar.PoolName(q.Route), "poison")
+		q.Parts = []retrier.PartDigest{first, poison}
 		refusal = r.Dispatch(context.Background(), q, &recordingWriter{})
 		assert.Assert(t, refusal != nil)
 		time.Sleep(300 * time.Millisecond)
 		sound := completion(fmt.Sprintf("marker:sound-%d", n), 5, true)
-		sound.SharedParts = []string{"first"}
+		sound.Parts = []retrier.PartDigest{first}
 		assertAnswered(t, r, sound, fmt.Sprintf("sound-%d-4 ", n))
 	}
 	assert.Equal(t, refusal.Code, refuser.RequestQuarantined)
--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -19,9 +19,9 @@
 	Body           []byte
 	Keys           []string // API keys in the request; never sent to backend servers.
 	IdempotencyKey string
-	Prefix         string   // Start of the prompt.
-	SharedParts    []string // Parts of the prompt that other requests may share.
-	Stream         bool     // The caller asked for a stream.
+	Prefix         string               // Start of the prompt.
+	Parts          []retrier.PartDigest // Parts of the prompt that other requests may share, in the pool of the route.
+	Stream         bool                 // The caller asked for a stream.
 }
 
 // outbound returns the request as sent to backend servers.
--- a/internal/emulator/engineemulator/completion.go
+++ b/internal/emulator/engineemulator/completion.go
@@ -1,6 +1,7 @@
 package engineemulator
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -9,6 +10,8 @@
 	"strings"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"github.com/quetzalhitch/quetzalhitch/internal/emulator"
 )
 
@@ -19,13 +22,43 @@
 // repeats so that tests can assign responses to requests.
 var markerPattern = regexp.MustCompile(`marker:([A-Za-z0-9_.-]+)`)
 
+var errMessages = merry.Sentinel("messages is no list")
+
 // A completionRequest holds the fields of a request that the engine uses.
 type completionRequest struct {
-	Model     string        `json:"model"`
-	Messages  []chatMessage `json:"messages"`
-	Prompt    string        `json:"prompt"`
-	MaxTokens int           `json:"max_tokens"`
-	Stream    bool          `json:"stream"`
+	Model     string   `json:"model"`
+	Messages  chatText `json:"messages"`
+	Prompt    string   `json:"prompt"`
+	MaxTokens int      `json:"max_tokens"`
+	Stream    bool     `json:"stream"`
+}
+
+// A chatText is the text of a list of messages.
+type chatText string
+
+// UnmarshalJSON implements json.Unmarshaler. It decodes the messages one by one, and stops
+// at the first that is invalid: many small ones take much more memory than their text.
+func (c *chatText) UnmarshalJSON(data []byte) error {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	start, err := decoder.Token()
+	switch {
+	case err != nil:
+		return err
+	case start == nil: // null
+		return nil
+	case start != json.Delim('['):
+		return errMessages
+	}
+	var text strings.Builder
+	for decoder.More() {
+		var m chatMessage
+		if err := decoder.Decode(&m); err != nil {
+			return err
+		}
+		fmt.Fprintf(&text, "%s: %s\n", m.Role, m.Content)
+	}
+	*c = chatText(text.String())
+	return nil
 }
 
 type chatMessage struct {
@@ -35,14 +68,10 @@
 
 // text returns the prompt as a single string.
 func (r completionRequest) text() string {
-	if len(r.Messages) == 0 {
+	if r.Messages == "" {
 		return r.Prompt
 	}
-	var b strings.Builder
-	for _, m := range r.Messages {
-		fmt.Fprintf(&b, "%s: %s\n", m.Role, m.Content)
-	}
-	return b.String()
+	return string(r.Messages)
 }
 
 // A completion is the processing of one request.
--- a/internal/emulator/engineemulator/engine_test.go
+++ b/internal/emulator/engineemulator/engine_test.go
@@ -61,8 +61,8 @@
 	// Guards against responses that cannot be assigned to their requests.
 	t.Run("responses repeat the marker", func(t *testing.T) {
 		e := start(t, Config{TokenTime: time.Millisecond})
-		status, body := post(t, e, "/v1/chat/completions", completionRequest{
-			Messages: []chatMessage{{Role: "user", Content: "marker:m-7"}}, MaxTokens: 3,
+		status, body := post(t, e, "/v1/chat/completions", map[string]any{
+			"messages": []chatMessage{{Role: "user", Content: "marker:m-7"}}, "max_tokens": 3,
 		})
 		assert.Equal(t, status, 200)
 		assert.Equal(t, strings.Count(body, "m-7-"), 3)
@@ -117,7 +117,7 @@
 		status, _ := post(t, e, "/fault", Fault{Status: 503, Times: 1})
 		assert.Equal(t, status, 204)
 		for _, want := range []int{503, 200} {
-			status, _ = post(t, e, "/v1/completions", completionRequest{Prompt: "x"})
+			status, _ = post(t, e, "/v1/completions", map[string]any{"prompt": "x"})
 			assert.Equal(t, status, want)
 		}
 		e.SetFault(Fault{CrashOn: "poison"})
--- a/internal/emulator/journal.go
+++ b/internal/emulator/journal.go
@@ -15,6 +15,10 @@
 // defaultJournalSize is the default number of requests that a journal keeps.
 const defaultJournalSize = 4096
 
+// maxJournalBytes is the maximum size of all bodies in a journal. Beyond it, the oldest
+// requests are kept without their bodies.
+const maxJournalBytes = 16 << 20
+
 // A Request is a request that an emulator received.
 type Request struct {
 	At     time.Time   `json:"at"`
@@ -38,6 +42,8 @@
 	size   int
 	recent []Request
 	next   int // Index in recent that is overwritten next, once recent is full.
+	oldest int // Index in recent of the oldest request that may have a body.
+	bytes  int // Size of all bodies.
 	counts map[string]int
 }
 
@@ -58,8 +64,10 @@
 
 // Digest returns the hexadecimal SHA-256 by which requests are counted.
 func Digest(method, path, query string, body []byte) string {
-	sum := sha256.Sum256([]byte(method + "\x00" + path + "\x00" + query + "\x00" + string(body)))
-	return hex.EncodeToString(sum[:])
+	sum := sha256.New()
+	_, _ = io.WriteString(sum, method+"\x00"+path+"\x00"+query+"\x00")
+	_, _ = sum.Write(body)
+	return hex.EncodeToString(sum.Sum(nil))
 }
 
 // Record records a request and returns its body. The body of r can be read
@@ -86,12 +94,30 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.counts[r.Digest]++
+	j.bytes += len(r.Body)
 	if len(j.recent) < j.size {
 		j.recent = append(j.recent, r)
-		return
+	} else {
+		j.bytes -= len(j.recent[j.next].Body)
+		j.recent[j.next] = r
+		if j.oldest == j.next {
+			j.oldest = (j.oldest + 1) % j.size
+		}
+		j.next = (j.next + 1) % j.size
+	}
+	for j.bytes > maxJournalBytes && j.oldest != j.newest() {
+		j.bytes -= len(j.recent[j.oldest].Body)
+		j.recent[j.oldest].Body = ""
+		j.oldest = (j.oldest + 1) % j.size
+	}
+}
+
+// newest returns the index of the newest request. The caller holds j.mu.
+func (j *Journal) newest() int {
+	if len(j.recent) < j.size {
+		return len(j.recent) - 1
 	}
-	j.recent[j.next] = r
-	j.next = (j.next + 1) % j.size
+	return (j.next + j.size - 1) % j.size
 }
 
 // Report returns a copy of the journal.
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -3,9 +3,11 @@
 package emulator
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -138,10 +140,18 @@
 	_, _ = w.Write(data)
 }
 
+// decoding is held while a document is decoded, which takes several times its size.
+var decoding sync.Mutex
+
 // ReadJSON decodes the body of a request. If the body is invalid, it responds
 // with 400 Bad Request and returns false.
 func ReadJSON(w http.ResponseWriter, r *http.Request, document any) bool {
-	err := json.NewDecoder(r.Body).Decode(document)
+	body, err := io.ReadAll(r.Body)
+	if err == nil {
+		decoding.Lock()
+		err = json.NewDecoder(bytes.NewReader(body)).Decode(document)
+		decoding.Unlock()
+	}
 	if err == nil {
 		return true
 	}
--- a/internal/prover/intake_test.go
+++ b/internal/prover/intake_test.go
@@ -27,14 +27,16 @@
 // TestIntake guards against callers that end a process or keep others out, with requests
 // that never become whole: the process ran out of memory or descriptors.
 func TestIntake(t *testing.T) {
-	const serviceHead = "POST /services/label/hostile HTTP/1.1\r\n" + devHead
 	for _, l := range tester.IntakeLoads() {
 		t.Run(l.Name, func(t *testing.T) { withstands(t, l, serviceHead) })
 	}
 }
 
-// devHead is a part of the heads of requests.
-const devHead = "Host: entry\r\nAuthorization: Bearer dev-workspace-key\r\n"
+// Heads of requests: a part of all, and that of a call of a service.
+const (
+	devHead     = "Host: entry\r\nAuthorization: Bearer dev-workspace-key\r\n"
+	serviceHead = "POST /services/label/hostile HTTP/1.1\r\n" + devHead
+)
 
 // TestDecodedBodies guards against whole requests of legal size that end a process by
 // what is made of them: decoded, copied or kept.
@@ -58,6 +60,7 @@
 		{completionHead, tester.WholeBodies("completions of large messages", 20, `{"model":"example-lm","messages":[`, message, `]}`)},
 		{completionHead, tester.WholeRequests("completions with many fields", 20, `{`+strings.Join(fields, ",")+`}`)},
 		{completionHead, tester.WholeRequests("deep nesting", 20, `{"messages":`+strings.Repeat("[", 4<<20-20))},
+		{serviceHead, tester.WholeBodies("bodies with escapes", 20, "", `%41\u0041`, "")},
 		{uploadHead, tester.WholeRequests("lines of many values", 20, `{"custom_id":"a`+line+`{"custom_id":"b`+line+`{"custom_id":"c`+line)},
 		{operatorHead, tester.WholeBodies("release notes of many values", 5, `x = [`, `[]`, `]`)},
 	} {
