fix: an entry keeps to the memory of its machine while it collects garbage

The setting memory-mb bounded what requests hold, but not the garbage collector of an entry or of quetzalhitch dev, which let the heap grow to twice what is in use. Instances on the platform have a soft limit of 0.7 of their memory; entries have the same now, unless GOMEMLIMIT sets another.

--- a/internal/commander/dev.go
+++ b/internal/commander/dev.go
@@ -58,6 +58,7 @@
 	}
 	defer remove()
 
+	limitMemory(configurer.Defaults().MemoryMB)
 	ctx, cancel := signalContext()
 	defer cancel()
 	d := &devDeployment{cmd: c, folder: folder, logger: logger, clock: clockwork.NewRealClock()}
--- a/internal/commander/entry.go
+++ b/internal/commander/entry.go
@@ -5,6 +5,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/jonboulle/clockwork"
@@ -44,11 +45,23 @@
 		return err
 	}
 
+	limitMemory(settings.MemoryMB)
 	ctx, cancel := signalContext()
 	defer cancel()
 	return entry.Run(ctx)
 }
 
+// memoryLimitRatio is the part of the memory of the machine that is Go's soft memory limit,
+// above which the garbage collector runs more often.
+const memoryLimitRatio = 0.7
+
+// limitMemory sets the soft memory limit, unless the environment does.
+func limitMemory(memoryMB int) {
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(int64(float64(memoryMB) * memoryLimitRatio * (1 << 20)))
+	}
+}
+
 // signalContext returns a context that is cancelled by the first SIGINT or
 // SIGTERM. A second signal ends the process at once.
 func signalContext() (ctx context.Context, cancel context.CancelFunc) {
