fix: log lines are bounded, whatever callers send

A caller chooses texts that stand in log lines, such as the ID of a request or the name of a job, up to the size of a head (16 KB, six times as much where JSON escapes it). The queue of lines was bounded by their number, 2,048, so that a stalled output could hold nearly 200 MB.

Found by reading; TestLoggerTruncatesFields and TestBoundedWriterBytes hold it.

--- a/internal/reporter/boundedwriter.go
+++ b/internal/reporter/boundedwriter.go
@@ -15,6 +15,8 @@
 	queueLines = 2048
 	// maxWriteBytes is the size up to which queued lines are joined in one write.
 	maxWriteBytes = 32 << 10
+	// maxQueueBytes is the size of all queued lines beyond which further ones are dropped.
+	maxQueueBytes = 4 << 20
 )
 
 // A BoundedWriter writes log lines from its own goroutine. When the output
@@ -22,6 +24,7 @@
 type BoundedWriter struct {
 	w       io.Writer
 	queue   chan []byte
+	queued  atomic.Int64 // Bytes in the queue.
 	dropped atomic.Int64
 }
 
@@ -32,11 +35,16 @@
 
 // Write implements io.Writer. It never blocks and never fails.
 func (b *BoundedWriter) Write(line []byte) (int, error) {
-	select {
-	case b.queue <- append([]byte(nil), line...):
-	default:
-		b.dropped.Add(1)
+	n := int64(len(line))
+	if b.queued.Add(n) <= maxQueueBytes {
+		select {
+		case b.queue <- append([]byte(nil), line...):
+			return len(line), nil
+		default:
+		}
 	}
+	b.queued.Add(-n)
+	b.dropped.Add(1)
 	return len(line), nil
 }
 
@@ -54,10 +62,11 @@
 		for {
 			select {
 			case line := <-b.queue:
+				b.queued.Add(-int64(len(line)))
 				reportedDrops = b.write(b.coalesce(line), reportedDrops)
 			case <-ctx.Done():
 				for len(b.queue) > 0 {
-					reportedDrops = b.write(b.coalesce(<-b.queue), reportedDrops)
+					reportedDrops = b.write(b.coalesce(nil), reportedDrops)
 				}
 				done <- nil
 				return
@@ -72,6 +81,7 @@
 	for len(lines) < maxWriteBytes {
 		select {
 		case line := <-b.queue:
+			b.queued.Add(-int64(len(line)))
 			lines = append(lines, line...)
 		default:
 			return lines
--- a/internal/reporter/boundedwriter_test.go
+++ b/internal/reporter/boundedwriter_test.go
@@ -54,3 +54,21 @@
 	assert.NilError(t, <-done)
 	assert.Assert(t, strings.Contains(output.text.String(), "log lines left out"))
 }
+
+// TestBoundedWriterBytes guards against a queue of few long lines that fills the memory.
+func TestBoundedWriterBytes(t *testing.T) {
+	const lines = 2 * maxQueueBytes / maxWriteBytes
+	output := &stalledWriter{release: make(chan struct{})}
+	w := NewBoundedWriter(output)
+	for range lines {
+		_, _ = w.Write(make([]byte, maxWriteBytes))
+	}
+	assert.Equal(t, w.queued.Load(), int64(maxQueueBytes))
+	assert.Equal(t, w.Dropped(), int64(lines/2))
+	ctx, cancel := context.WithCancel(t.Context())
+	done := w.Start(ctx)
+	close(output.release)
+	cancel()
+	assert.NilError(t, <-done)
+	assert.Equal(t, w.queued.Load(), int64(0))
+}
--- a/internal/reporter/logger.go
+++ b/internal/reporter/logger.go
@@ -37,8 +37,8 @@
 	Level  string    // A level of logrus, such as "debug"; empty means "info".
 }
 
-// NewLogger returns a logger that writes to w and drops fields that may hold
-// secrets.
+// NewLogger returns a logger that writes to w, drops fields that may hold secrets, and
+// truncates long ones.
 func NewLogger(cfg LogConfig, w io.Writer) (logger *logrus.Logger, err error) {
 	defer func() {
 		if err != nil {
@@ -60,6 +60,7 @@
 	logger.SetFormatter(formatter)
 	logger.SetLevel(level)
 	logger.AddHook(RedactionHook{})
+	logger.AddHook(TruncationHook{})
 	return logger, nil
 }
 
--- a/internal/reporter/logger_test.go
+++ b/internal/reporter/logger_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"strings"
 	"testing"
 
@@ -49,6 +50,24 @@
 	assert.Equal(t, line["backend-server"], "lm-desk-3")
 }
 
+// Guards against lines that are as long as what callers send.
+func TestLoggerTruncatesFields(t *testing.T) {
+	var out bytes.Buffer
+	logger, err := NewLogger(LogConfig{}, &out)
+	assert.NilError(t, err)
+	long := strings.Repeat("\u20ac", 10_000)
+	entry := logger.WithFields(logrus.Fields{"request": long, "job": "j1"}).WithError(errors.New(long))
+	entry.Info("request refused")
+
+	var line map[string]any
+	assert.NilError(t, json.Unmarshal(out.Bytes(), &line))
+	assert.Assert(t, out.Len() < 3*maxFieldBytes, "%d bytes", out.Len())
+	assert.Assert(t, strings.HasPrefix(line["request"].(string), "\u20ac\u20ac"))
+	assert.Assert(t, strings.HasSuffix(line["error"].(string), "\u20ac..."))
+	assert.Equal(t, line["job"], "j1")
+	assert.Equal(t, entry.Data["request"], long, "the hook changed the caller's entry")
+}
+
 // Guards against a typo in the settings that silences the log.
 func TestLoggerRefusesUnknownSettings(t *testing.T) {
 	for _, cfg := range []LogConfig{{Format: "xml"}, {Level: "loud"}} {
