fix: long IDs of requests are kept as digests by the resumer

The ID of each stream is kept for a minute, and callers choose it, up to the size of a head: 50 streams a second with IDs of 16 KB hold 48 MB. IDs above 256 bytes are kept, and sent to peers, as digests.

Found by reading. TestLongIDs fails with the digest switched off.

--- a/internal/resumer/resumer.go
+++ b/internal/resumer/resumer.go
@@ -7,6 +7,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"sync"
 	"time"
 
@@ -34,6 +36,8 @@
 	notifyRetryDelay = 300 * time.Millisecond
 	// notifyDelay is the time in which streams are gathered before peers are notified.
 	notifyDelay = 5 * time.Millisecond
+	// maxIDBytes is the size of an ID up to which it is kept as it is.
+	maxIDBytes = 256
 	// pruneInterval is the time between two removals of old streams.
 	pruneInterval = 10 * time.Second
 )
@@ -161,6 +165,7 @@
 // RecordBeginning records a stream whose first event is passed to the caller. Services
 // are those that the route may go to.
 func (r *Resumer) RecordBeginning(s Stream, services []string) {
+	s.ID = boundedID(s.ID)
 	r.record(s, true)
 	if _, only := r.history.only(services, r.now()); !only {
 		r.outbox.add(s, r.replicas.of(s.ID))
@@ -171,6 +176,7 @@
 // Services are those that the route may go to; ID is empty if the caller does not name
 // the stream.
 func (r *Resumer) Find(ctx context.Context, id string, services []string) (origin Origin, known bool) {
+	id = boundedID(id)
 	if id != "" {
 		if origin, known = r.local(id); known {
 			return origin, true
@@ -187,6 +193,15 @@
 	return r.ask(ctx, id)
 }
 
+// boundedID returns an ID, or the digest of one that is too long to be kept.
+func boundedID(id string) string {
+	if len(id) <= maxIDBytes {
+		return id
+	}
+	sum := sha256.Sum256([]byte(id))
+	return hex.EncodeToString(sum[:])
+}
+
 func (r *Resumer) now() time.Time { return r.cfg.Clock.Now() }
 
 func (r *Resumer) shard(id string) *shard { return &r.shards[xxhash.Sum64String(id)%shardCount] }
--- a/internal/resumer/resumer_test.go
+++ b/internal/resumer/resumer_test.go
@@ -328,3 +328,17 @@
 		assertUnknown(t, f.instances["i0"], "q0")
 	})
 }
+
+// Guards against callers that fill the memory with long IDs of streams, and against such
+// streams that cannot be taken up.
+func TestLongIDs(t *testing.T) {
+	f := newFleet(t, 2)
+	long := strings.Repeat("q", 16<<10)
+	f.instances["i0"].RecordBeginning(Stream{ID: long, Origin: v1}, []string{service})
+	origin, known := f.instances["i0"].Find(t.Context(), long, []string{service})
+	assert.Assert(t, known)
+	assert.Equal(t, origin, v1)
+	for _, s := range f.instances["i0"].begunHere(service) {
+		assert.Assert(t, len(s.ID) <= maxIDBytes, "%d bytes are kept", len(s.ID))
+	}
+}
