fix: an instance does not keep what callers ask for without bound

Two tables were filled by reads of jobs. A name that fits no key of the store was entered before it was checked, and stayed: 4,096 names of up to 16 KB, 64 MB. And the results of other instances' jobs were cached by the number of jobs only, at up to 700 KB a result.

Found by reading. TestJobCache fails without the check of the name.

--- a/internal/jobkeeper/keeper.go
+++ b/internal/jobkeeper/keeper.go
@@ -22,8 +22,12 @@
 	"github.com/quetzalhitch/quetzalhitch/pkg/refuser"
 )
 
-// shardCount is the number of shards of the job table.
-const shardCount = 16
+const (
+	// shardCount is the number of shards of the job table.
+	shardCount = 16
+	// cacheDivisor is the part of Config.MaxHeldBytes for cached results.
+	cacheDivisor = 2
+)
 
 // A Store is the part of the platform's store that a keeper needs.
 type Store interface {
@@ -75,7 +79,8 @@
 	Placer        Placer
 	BackendClient forwarder.BackendClient
 	// MaxHeldBytes limits the manifests of open jobs that this instance accepts; 0 means no
-	// limit. Jobs that it takes over count, but are not refused.
+	// limit. Jobs that it takes over count, but are not refused. A part of it limits, beside
+	// that, the cached results of other instances' jobs.
 	MaxHeldBytes int64
 	Retention    time.Duration // How long a job and its results are kept after its submission.
 	Clock        storer.Clock
@@ -149,7 +154,7 @@
 		k.shards[i].jobs = map[string]*job{}
 	}
 	k.queues.init(k)
-	k.cache.init()
+	k.cache.init(cfg.MaxHeldBytes / cacheDivisor)
 	cfg.Links.Handle(linker.KindJob, linker.HandlerFunc(k.handleJob))
 	k.items, err = cfg.Meter.Int64Counter("jobkeeper.runs", metric.WithDescription("Runs of items by what ended them"))
 	return k, errors.Join(err, k.memory.register(cfg.Meter))
--- a/internal/jobkeeper/memory_test.go
+++ b/internal/jobkeeper/memory_test.go
@@ -12,6 +12,41 @@
 	"github.com/quetzalhitch/quetzalhitch/pkg/refuser"
 )
 
+// TestJobCache guards against callers that fill the memory with what they ask for: names of
+// jobs that do not exist, and results of other instances' jobs.
+func TestJobCache(t *testing.T) {
+	t.Run("names that fit no key are not kept", func(t *testing.T) {
+		k := newTestCluster().startKeeper(t, "k1")
+		long := strings.Repeat("j", 16<<10)
+		_, refusal := k.Read(t.Context(), workspace, long, 0, 0)
+		assert.Equal(t, refusal, notFound)
+		_, refusal = k.Body(t.Context(), workspace, long, "i1")
+		assert.Equal(t, refusal, notFound)
+		assert.Equal(t, k.End(t.Context(), workspace, long), notFound)
+		assert.Equal(t, len(k.cache.jobs), 0)
+	})
+	t.Run("names of jobs that do not exist are not kept", func(t *testing.T) {
+		k := newTestCluster().startKeeper(t, "k1")
+		_, refusal := k.Read(t.Context(), workspace, "j9", 0, 0)
+		assert.Equal(t, refusal, notFound)
+		assert.Equal(t, len(k.cache.jobs), 0)
+	})
+	t.Run("results are bounded", func(t *testing.T) {
+		results := []Result{{Item: "i1", Text: strings.Repeat("x", 1000)}}
+		size := int64(results[0].encodedBytes())
+		var c jobCache
+		c.init(3 * size)
+		for _, id := range []string{"j1", "j2", "j3", "j4", "j4", "j4", "j4", "j5"} {
+			c.get(id)
+			c.add(id, results)
+			assert.Assert(t, c.bytes <= c.limit || len(c.jobs) == 1, "%d bytes of %d jobs", c.bytes, len(c.jobs))
+			assert.Assert(t, c.jobs[id] != nil, "the job that was read last was dropped")
+		}
+		c.remove("j5")
+		assert.Equal(t, c.bytes, int64(0))
+	})
+}
+
 // TestJobMemory guards against callers that fill the memory of an instance with jobs, and
 // against room that is not given back.
 func TestJobMemory(t *testing.T) {
--- a/internal/jobkeeper/query.go
+++ b/internal/jobkeeper/query.go
@@ -56,8 +56,11 @@
 
 // A jobCache caches jobs of other instances.
 type jobCache struct {
-	mu   sync.Mutex
-	jobs map[string]*cachedJob // By job ID.
+	limit int64 // Of the bytes; 0 if there is none.
+
+	mu    sync.Mutex
+	jobs  map[string]*cachedJob // By job ID.
+	bytes int64                 // Of the results of all jobs.
 }
 
 // A cachedJob is the cached state of a job of another instance. Listed results
@@ -69,6 +72,8 @@
 	owner    string    // Instance to ask; it may have changed.
 	results  []Result
 	segments int // Segments in results.
+
+	resultBytes int64 // Guarded by the lock of the cache.
 }
 
 // needsLookup reports whether the record has to be read: the job is not done as
@@ -85,7 +90,7 @@
 	return c.record.Done && c.segments == c.record.Segments
 }
 
-func (c *jobCache) init() { c.jobs = map[string]*cachedJob{} }
+func (c *jobCache) init(limit int64) { c.jobs, c.limit = map[string]*cachedJob{}, limit }
 
 func (c *jobCache) get(id string) *cachedJob {
 	c.mu.Lock()
@@ -96,7 +101,7 @@
 			if len(c.jobs) < maxCachedJobs {
 				break
 			}
-			delete(c.jobs, old)
+			c.drop(old)
 		}
 		known = &cachedJob{}
 		c.jobs[id] = known
@@ -137,7 +142,40 @@
 func (c *jobCache) remove(id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.jobs, id)
+	c.drop(id)
+}
+
+// drop removes a job. The caller holds c.mu.
+func (c *jobCache) drop(id string) {
+	if known := c.jobs[id]; known != nil {
+		c.bytes -= known.resultBytes
+		delete(c.jobs, id)
+	}
+}
+
+// add counts results that were added to a job. Other jobs with results are dropped until
+// all fit.
+func (c *jobCache) add(id string, results []Result) {
+	n := int64(0)
+	for _, r := range results {
+		n += int64(r.encodedBytes())
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := c.jobs[id]
+	if known == nil { // It was dropped meanwhile.
+		return
+	}
+	known.resultBytes += n
+	c.bytes += n
+	for other, job := range c.jobs {
+		if c.limit <= 0 || c.bytes <= c.limit {
+			return
+		}
+		if other != id && job.resultBytes > 0 {
+			c.drop(other)
+		}
+	}
 }
 
 var notFound = refuser.New(refuser.JobNotFound, refuser.NotRun, "no such job exists")
@@ -216,6 +254,7 @@
 			return View{}, k.storeRefusal(id, err)
 		}
 		c.results = append(c.results, results...)
+		k.cache.add(id, results)
 		c.segments = c.record.Segments
 	}
 	return newView(c.record.Total, c.results, after, c.record.Done), nil
@@ -258,6 +297,9 @@
 // askOwner sends a request to the owner of a job. If Owned is false in the
 // response, the job has to be read from the store.
 func (k *Keeper) askOwner(ctx context.Context, q jobRequest) (jobResponse, *refuser.Refusal) {
+	if !k.mayExist(q.Job) {
+		return jobResponse{}, notFound
+	}
 	c := k.cache.get(q.Job)
 	if c.needsLookup() {
 		read, refusal := k.refreshCached(ctx, q.Job)
