fix: a release note with many levels of nesting is refused before it is parsed

One note of 1 MB of opening brackets, from a holder of an operator key, took its caller more than 15 s to wait for, and five took a process of 512 MB to 595 MB: the TOML library recurses once for each level. The bytes that may open a level are counted before it is called; a note with more than 100,000 of them, one for each ten bytes of the largest note, is refused with 422.

--- a/internal/prover/intake_test.go
+++ b/internal/prover/intake_test.go
@@ -62,6 +62,8 @@
 		{completionHead, tester.WholeRequests("deep nesting", 20, `{"messages":`+strings.Repeat("[", 4<<20-20))},
 		{serviceHead, tester.WholeBodies("bodies with escapes", 20, "", `%41\u0041`, "")},
 		{uploadHead, tester.WholeRequests("lines of many values", 20, `{"custom_id":"a`+line+`{"custom_id":"b`+line+`{"custom_id":"c`+line)},
+		{operatorHead, tester.WholeRequests("release notes of deep nesting", 5, `x = `+strings.Repeat("[", 1<<20-10))},
+		{operatorHead, tester.WholeRequests("release notes of long keys", 5, `x`+strings.Repeat(".x", 1<<19-10)+` = 1`)},
 		{operatorHead, tester.WholeBodies("release notes of many values", 5, `x = [`, `[]`, `]`)},
 	} {
 		t.Run(c.load.Name, func(t *testing.T) { withstands(t, c.load, c.head) })
--- a/pkg/declarer/releasenote.go
+++ b/pkg/declarer/releasenote.go
@@ -1,6 +1,9 @@
 package declarer
 
-import "slices"
+import (
+	"bytes"
+	"slices"
+)
 
 // A ReleaseNote lists the objects that an operator adds, changes and withdraws.
 // A changed object replaces the object with its name completely.
@@ -46,10 +49,25 @@
 	Workspaces     []string `toml:"workspaces"`
 }
 
+// maxNestings is the maximum number of characters of a release note that may open a level
+// of nesting, for each of which the TOML library needs some 600 bytes of stack.
+const maxNestings = 100_000
+
+func countNestings(data []byte) (n int) {
+	for _, c := range []string{"[", "{", "."} {
+		n += bytes.Count(data, []byte(c))
+	}
+	return n
+}
+
 // ParseReleaseNote parses a release note and reports the faults that can be
 // found without the declaration that it changes.
 func ParseReleaseNote(file string, data []byte) (note ReleaseNote, faults []Fault) {
 	list := faultList{file: file}
+	if countNestings(data) > maxNestings {
+		list.add("", "more than %d brackets, braces and dots", maxNestings)
+		return ReleaseNote{}, list.sorted()
+	}
 	faults, readable := DecodeTOML(file, data, &note)
 	if !readable {
 		return ReleaseNote{}, faults
