fix: a small machine receives fewer uploads at once

An upload takes some 40 MB while its chunks are stored, and four were received at once on machines of any size: 160 MB where memory-mb may be 64. There is one for each 128 MB of memory now, at least one and at most four, as before from 512 MB on, the default. Others wait for a slot for 20 s, as before.

Found by reading; not shown on a process.

--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -41,6 +41,8 @@
 	// of them. An upload takes at most 40 MiB of memory plus the body limit of
 	// the server.
 	DefaultMaxUploads = 4
+	// memoryPerUploadMB is the memory of a machine for each concurrent upload.
+	memoryPerUploadMB = 128
 	// defaultDueIn applies when the caller sets no due-in.
 	defaultDueIn = 24 * time.Hour
 	// uploadTimeout bounds an upload. It must be below the age at which the batcher
@@ -67,6 +69,9 @@
 	close   context.CancelFunc
 }
 
+// MaxUploads returns how many uploads a machine with the given memory receives at once.
+func MaxUploads(memoryMB int) int { return max(1, min(DefaultMaxUploads, memoryMB/memoryPerUploadMB)) }
+
 // New returns a Receiver.
 func New(cfg Config) *Receiver {
 	if cfg.MaxUploads <= 0 {
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -291,6 +291,13 @@
 	})
 }
 
+// Guards against uploads that take more memory together than a small machine has.
+func TestMaxUploads(t *testing.T) {
+	for memoryMB, want := range map[int]int{64: 1, 144: 1, 256: 2, 512: 4, 16_384: 4} {
+		assert.Equal(t, MaxUploads(memoryMB), want, "%d MB", memoryMB)
+	}
+}
+
 // Guards against a workspace whose uploads block those of others.
 func TestUploadLimiter(t *testing.T) {
 	clock := clockwork.NewFakeClock()
--- a/internal/runner/assemble.go
+++ b/internal/runner/assemble.go
@@ -354,6 +354,8 @@
 		Jobs:   e.components.batcher,
 		Clock:  e.options.Clock,
 		Logger: e.options.Logger,
+
+		MaxUploads: receiver.MaxUploads(e.settings.MemoryMB),
 	})
 	e.components.intake = intaker.NewBudget(e.settings.MemoryMB, e.options.Clock, e.options.Logger)
 	if err := e.components.intake.Register(e.meter("intaker")); err != nil {
