fix: cached results are counted for the entry that holds them

An entry of the cache that is dropped and read again while results are added to it was charged with them. The check compares the entry, not its name. Found by reading; TestJobCache has the case.

--- a/internal/jobkeeper/memory_test.go
+++ b/internal/jobkeeper/memory_test.go
@@ -37,11 +37,11 @@
 		var c jobCache
 		c.init(3 * size)
 		for _, id := range []string{"j1", "j2", "j3", "j4", "j4", "j4", "j4", "j5"} {
-			c.get(id)
-			c.add(id, results)
+			c.add(c.get(id), id, results)
 			assert.Assert(t, c.bytes <= c.limit || len(c.jobs) == 1, "%d bytes of %d jobs", c.bytes, len(c.jobs))
 			assert.Assert(t, c.jobs[id] != nil, "the job that was read last was dropped")
 		}
+		c.add(&cachedJob{}, "j5", results) // Dropped and read again meanwhile.
 		c.remove("j5")
 		assert.Equal(t, c.bytes, int64(0))
 	})
--- a/internal/jobkeeper/query.go
+++ b/internal/jobkeeper/query.go
@@ -155,15 +155,14 @@
 
 // add counts results that were added to a job. Other jobs with results are dropped until
 // all fit.
-func (c *jobCache) add(id string, results []Result) {
+func (c *jobCache) add(known *cachedJob, id string, results []Result) {
 	n := int64(0)
 	for _, r := range results {
 		n += int64(r.encodedBytes())
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	known := c.jobs[id]
-	if known == nil { // It was dropped meanwhile.
+	if c.jobs[id] != known { // It was dropped meanwhile.
 		return
 	}
 	known.resultBytes += n
@@ -254,7 +253,7 @@
 			return View{}, k.storeRefusal(id, err)
 		}
 		c.results = append(c.results, results...)
-		k.cache.add(id, results)
+		k.cache.add(c, id, results)
 		c.segments = c.record.Segments
 	}
 	return newView(c.record.Total, c.results, after, c.record.Done), nil
