fix: answers to reads of jobs are bounded until their callers have read them

200 callers that asked for the body of an item (3 MB) and did not read it took a process of 144 MB to 626 MB, with requests of a hundred bytes: each answer was copied and held until the write stalled for ten seconds.

Pages of results and bodies of items count while they are held, in a quarter of the budget; large ones leave a quarter of that to small ones, and a single answer always finds room. Answers of servers are not in this bound.

--- a/internal/intaker/body.go
+++ b/internal/intaker/body.go
@@ -140,6 +140,10 @@
 	return nil
 }
 
+// HoldAnswer notes that an answer of n bytes is held until the caller has read it. It
+// returns ErrOverloaded if there is no room for it.
+func (c *Conn) HoldAnswer(n int) error { return c.account.HoldAnswer(int64(n)) }
+
 // A receivedBody is a body in pieces, whose memory grows as it arrives.
 type receivedBody struct {
 	account *Account
--- a/internal/intaker/budget.go
+++ b/internal/intaker/budget.go
@@ -30,6 +30,9 @@
 	// smallBytes, so that large requests do not keep out small ones.
 	largeShare = 0.75
 	smallBytes = 64 << 10
+	// answersDivisor is the part of a budget for answers, beside it. It bounds those of
+	// which callers may have many for one request.
+	answersDivisor = 4
 	// releaseDelay lets a burst end before its buffers are released, and releaseInterval
 	// limits how often the garbage collector is run for it.
 	releaseDelay    = time.Second
@@ -65,7 +68,8 @@
 
 	mu       sync.Mutex
 	used     int64
-	burst    bool // More than half was in use since buffers were last released.
+	answers  int64 // Bytes of answers that are held.
+	burst    bool  // More than half was in use since buffers were last released.
 	evicted  int64
 	accounts map[*Account]struct{}
 	released chan struct{} // Receives a value at the end of a burst.
@@ -213,6 +217,7 @@
 	state  state
 	served bool // A request was received whole.
 	held   int64
+	answer int64     // Bytes of the answer that is held.
 	mark   time.Time // Of the last progress.
 }
 
@@ -290,6 +295,33 @@
 	return victim
 }
 
+// HoldAnswer notes that the answer to a request that runs takes n bytes until Idle or Close.
+// An answer of any size finds room if no other is held, but large ones leave room for
+// small ones.
+func (a *Account) HoldAnswer(n int64) error {
+	b := a.gate.Budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a.releaseAnswer() // Of the request before, if this one was read with it.
+	limit := b.limit / answersDivisor
+	if n > smallBytes {
+		limit = int64(largeShare * float64(limit))
+	}
+	if b.answers > 0 && b.answers+n > limit {
+		return ErrOverloaded
+	}
+	b.answers += n
+	a.answer += n
+	return nil
+}
+
+// releaseAnswer notes that the answer is no longer held. The caller holds the lock of the
+// budget.
+func (a *Account) releaseAnswer() {
+	a.gate.Budget.answers -= a.answer
+	a.answer = 0
+}
+
 // Complete notes that the request was received whole and holds n bytes while it runs.
 // It returns ErrOverloaded if the connection was evicted before; the request must not
 // run then. After Complete the connection is not evicted until Idle.
@@ -314,6 +346,7 @@
 		return
 	}
 	b.add(-a.held)
+	a.releaseAnswer()
 	a.state, a.held, a.mark = waiting, 0, b.clock.Now()
 }
 
@@ -327,6 +360,7 @@
 	}
 	delete(b.accounts, a)
 	b.add(-a.held)
+	a.releaseAnswer()
 	a.held, a.state = 0, evicted
 	a.gate.open--
 }
--- a/internal/intaker/budget_test.go
+++ b/internal/intaker/budget_test.go
@@ -94,6 +94,26 @@
 	})
 }
 
+// Guards against answers that are not read and fill the memory, or keep out all others.
+func TestHoldAnswer(t *testing.T) {
+	const large, small = 150 << 10, 10 << 10 // Of 256 KB, of which 192 KB are for large ones.
+	g := newTestGate(10)
+	first, second := g.open(t, "first"), g.open(t, "second")
+	assert.NilError(t, first.HoldAnswer(large))
+	assert.ErrorIs(t, second.HoldAnswer(large), ErrOverloaded)
+	assert.NilError(t, second.HoldAnswer(small))
+	assert.NilError(t, second.HoldAnswer(small)) // To the next request of the connection.
+	assert.Equal(t, g.Budget.answers, int64(large+small))
+	first.Idle()
+	assert.Equal(t, g.Budget.answers, int64(small))
+	second.Close()
+	assert.Equal(t, g.Budget.answers, int64(0))
+	assert.NilError(t, first.HoldAnswer(10*large), "a single answer finds room")
+	first.Close()
+	first.Close()
+	assert.Equal(t, g.Budget.answers, int64(0))
+}
+
 // Guards against connections beyond the descriptors, and against callers that are kept
 // out by connections that send nothing.
 func TestGate(t *testing.T) {
--- a/internal/tester/intake.go
+++ b/internal/tester/intake.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -28,6 +30,7 @@
 	smallChunkBytes     = 16
 	largeChunkBytes     = 64 << 10
 	pieceBytes          = 16 << 10
+	narrowBufferBytes   = 4 << 10
 )
 
 // wholeAnswerTimeout bounds the wait for the answer to a whole request.
@@ -40,7 +43,10 @@
 	Connections int
 	// Whole requests are sent to their end, and Start waits for their answers.
 	Whole bool
-	send  func(w *bufio.Writer, head string) error
+	// Narrow connections have a small receive buffer, so that what they do not read stays
+	// with the sender.
+	Narrow bool
+	send   func(w *bufio.Writer, head string) error
 }
 
 // connectionMark is replaced by the number of the connection in the head of a request.
@@ -148,7 +154,7 @@
 	var sending sync.WaitGroup
 	for n := range l.Connections {
 		sending.Go(func() {
-			c, err := (&net.Dialer{Timeout: intakeWriteTimeout}).DialContext(t.Context(), "tcp", address)
+			c, err := l.dialer().DialContext(t.Context(), "tcp", address)
 			if err != nil {
 				return // Refused connections are allowed.
 			}
@@ -177,6 +183,19 @@
 	return stop
 }
 
+func (l IntakeLoad) dialer() *net.Dialer {
+	d := &net.Dialer{Timeout: intakeWriteTimeout}
+	if l.Narrow {
+		d.Control = func(_, _ string, conn syscall.RawConn) (err error) {
+			controlErr := conn.Control(func(fd uintptr) {
+				err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, narrowBufferBytes)
+			})
+			return errors.Join(controlErr, err)
+		}
+	}
+	return d
+}
+
 // MemoryPeak returns the largest resident size of a process so far, in bytes.
 func (p *Process) MemoryPeak() (size int64, err error) {
 	defer func() { err = merry.Prependf(err, "memory of process %s", p.Name) }()
