fix: the items of a job are guarded by its lock

A job that is done or ended lets go of its items. They were a part of its manifest, which is read without a lock while items run: the race detector found a write beside a copy of the whole manifest in TestJobMemory, in 1 of 4 runs. The copy's items were not used, so no wrong answer is known.

The items are a field of their own under the lock of the job.

With the race detector TestJobMemory, TestJobCache and TestEnd pass 5 of 5 runs.

--- a/internal/jobkeeper/job.go
+++ b/internal/jobkeeper/job.go
@@ -157,12 +157,13 @@
 
 // A job is a job that this instance owns. mu guards the fields below it.
 type job struct {
-	manifest  Manifest // Its Items are guarded by mu.
+	manifest  Manifest // Without the items.
 	held      int64    // Bytes of the manifest as it was submitted.
 	takenOver bool     // It was not accepted by this process.
 
 	mu           sync.Mutex
-	released     bool // Only the IDs and tokens of the items are left in the manifest.
+	items        []Item
+	released     bool // Only the IDs and tokens of the items are left.
 	record       Record
 	version      int64     // Version of the record in the store.
 	listed       []Result  // In the store.
@@ -185,7 +186,8 @@
 }
 
 func newJob(m Manifest, r Record, version int64, listed []Result) *job {
-	j := &job{manifest: m, held: m.heldBytes(), record: r, version: version, listed: listed, unfinished: map[string]*task{}, changed: make(chan struct{})}
+	j := &job{manifest: m, items: m.Items, held: m.heldBytes(), record: r, version: version, listed: listed, unfinished: map[string]*task{}, changed: make(chan struct{})}
+	j.manifest.Items = nil
 	known := make(map[string]Result, len(listed))
 	missing := make(map[string]int, len(m.Items)) // Results that are not listed, by item.
 	for i := range m.Items {
@@ -293,9 +295,9 @@
 func (j *job) tokensOf(results []Result) (n int64) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	tokens := make(map[string]int64, len(j.manifest.Items))
-	for i := range j.manifest.Items {
-		tokens[j.manifest.Items[i].ID] = j.manifest.Items[i].Tokens
+	tokens := make(map[string]int64, len(j.items))
+	for i := range j.items {
+		tokens[j.items[i].ID] = j.items[i].Tokens
 	}
 	for _, r := range results {
 		n += tokens[r.Item]
--- a/internal/jobkeeper/keeper.go
+++ b/internal/jobkeeper/keeper.go
@@ -385,8 +385,8 @@
 	}
 	j.mu.Lock()
 	tasks := make([]*task, 0, len(j.unfinished))
-	for i := range j.manifest.Items {
-		item := &j.manifest.Items[i]
+	for i := range j.items {
+		item := &j.items[i]
 		if t, ok := j.unfinished[item.ID]; ok && t.item == item { // Once for each ID.
 			tasks = append(tasks, t)
 		}
--- a/internal/jobkeeper/memory.go
+++ b/internal/jobkeeper/memory.go
@@ -89,9 +89,9 @@
 	}
 	j.released = true
 	k.memory.add(-j.held)
-	items := make([]Item, 0, len(j.manifest.Items)) // Running tasks refer to the former ones.
-	for _, i := range j.manifest.Items {
+	items := make([]Item, 0, len(j.items)) // Running tasks refer to the former ones.
+	for _, i := range j.items {
 		items = append(items, Item{ID: i.ID, Tokens: i.Tokens})
 	}
-	j.manifest.Items = items
+	j.items = items
 }
--- a/internal/jobkeeper/query.go
+++ b/internal/jobkeeper/query.go
@@ -431,7 +431,7 @@
 	if j.manifest.Workspace != workspace {
 		return nil, false, true
 	}
-	for _, i := range j.manifest.Items {
+	for _, i := range j.items {
 		if i.ID == item {
 			return i.Body, !j.released, !j.released
 		}
