fix: large jobs and single workspaces leave room for the jobs of others

Seven jobs of 4 MB of one caller filled the room for open jobs of an instance with 144 MB, for as long as their items took, and small jobs of everybody else were refused there.

Jobs above 64 KB take three quarters of the room together, as large requests do of the budget for requests, and those of one workspace half of it; a single job of any size still fits. TestSharesOfJobMemory holds both shares; the earlier code has neither.

--- a/internal/jobkeeper/keeper.go
+++ b/internal/jobkeeper/keeper.go
@@ -95,7 +95,7 @@
 	queues        queueSet
 	cache         jobCache
 	endless       endlessAnswerSet
-	memory        jobMemory
+	memory        *jobMemory
 	admitter      *admitter.Admitter
 	items         metric.Int64Counter
 	sweepRequests chan struct{} // Requests a scan of the records of all jobs.
@@ -137,7 +137,7 @@
 	defer func() { err = merry.Prepend(err, "create job keeper") }()
 	k = &Keeper{
 		cfg:           cfg,
-		memory:        jobMemory{limit: cfg.MaxHeldBytes},
+		memory:        newJobMemory(cfg.MaxHeldBytes),
 		admitter:      admitter.New(cfg.Clock),
 		sweepRequests: make(chan struct{}, 1),
 		members:       map[string]enroller.Member{},
@@ -267,13 +267,13 @@
 		return k.refuseUnlessAccepted(ctx, m, refusal)
 	}
 	held := m.heldBytes()
-	if !k.memory.take(held) {
+	if !k.memory.take(m.Workspace, held) {
 		return k.refuseUnlessAccepted(ctx, m, memoryRefusal())
 	}
 	accepted := false
 	defer func() {
 		if !accepted {
-			k.memory.add(-held)
+			k.memory.add(m.Workspace, -held)
 		}
 	}()
 	m.Guarantees = k.currentGuarantees(m)
--- a/internal/jobkeeper/memory.go
+++ b/internal/jobkeeper/memory.go
@@ -20,6 +20,12 @@
 	// memoryRetryAfter is how long a caller waits whose job finds no room. Other
 	// instances may have some.
 	memoryRetryAfter = 500 * time.Millisecond
+	// largeShare is the part of the limit that is available to jobs of more than
+	// smallBytes, and workspaceShare that of one workspace, so that neither keeps out
+	// others.
+	largeShare     = 0.75
+	smallBytes     = 64 << 10
+	workspaceShare = 0.5
 )
 
 // heldBytes returns about how much memory the manifest takes.
@@ -38,27 +44,49 @@
 type jobMemory struct {
 	limit int64 // 0 if there is none.
 
-	mu   sync.Mutex
-	used int64
+	mu         sync.Mutex
+	used       int64
+	workspaces map[string]int64 // Those with open jobs.
+}
+
+func newJobMemory(limit int64) *jobMemory {
+	return &jobMemory{limit: limit, workspaces: map[string]int64{}}
 }
 
 // take adds a job that is submitted, if it fits. A job of any size fits if there is no
 // other.
-func (m *jobMemory) take(n int64) bool {
+func (m *jobMemory) take(workspace string, n int64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.limit > 0 && m.used > 0 && m.used+n > m.limit {
+	limit := m.limit
+	if n > smallBytes {
+		limit = int64(largeShare * float64(limit))
+	}
+	own := m.workspaces[workspace]
+	switch {
+	case m.limit > 0 && m.used > 0 && m.used+n > limit:
+		return false
+	case m.limit > 0 && own > 0 && own+n > int64(workspaceShare*float64(m.limit)):
 		return false
 	}
-	m.used += n
+	m.change(workspace, n)
 	return true
 }
 
 // add changes the bytes by those of a job that has been accepted, or no longer is open.
-func (m *jobMemory) add(n int64) {
+func (m *jobMemory) add(workspace string, n int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.change(workspace, n)
+}
+
+// change changes the bytes. The caller holds m.mu.
+func (m *jobMemory) change(workspace string, n int64) {
 	m.used += n
+	m.workspaces[workspace] += n
+	if m.workspaces[workspace] == 0 {
+		delete(m.workspaces, workspace)
+	}
 }
 
 // register adds a metric of the bytes.
@@ -88,7 +116,7 @@
 		return
 	}
 	j.released = true
-	k.memory.add(-j.held)
+	k.memory.add(j.manifest.Workspace, -j.held)
 	items := make([]Item, 0, len(j.items)) // Running tasks refer to the former ones.
 	for _, i := range j.items {
 		items = append(items, Item{ID: i.ID, Tokens: i.Tokens})
--- a/internal/jobkeeper/memory_test.go
+++ b/internal/jobkeeper/memory_test.go
@@ -127,3 +127,38 @@
 		}, poll.WithTimeout(10*time.Second))
 	})
 }
+
+// TestSharesOfJobMemory guards against large jobs, and against workspaces, that keep out
+// the jobs of others.
+func TestSharesOfJobMemory(t *testing.T) {
+	const limit = 1 << 20
+	assertTaken := func(t *testing.T, m *jobMemory, workspace string, n int64, want bool) {
+		t.Helper()
+		assert.Equal(t, m.take(workspace, n), want, "%d bytes of %s, %d are used", n, workspace, m.used)
+	}
+	t.Run("large jobs leave room for small ones", func(t *testing.T) {
+		m := newJobMemory(limit)
+		assertTaken(t, m, "a", limit*2/5, true)
+		assertTaken(t, m, "b", limit*2/5, false)
+		assertTaken(t, m, "b", limit*3/10, true)
+		assertTaken(t, m, "c", limit/10, false)
+		assertTaken(t, m, "c", smallBytes, true)
+	})
+	t.Run("a workspace leaves room for others", func(t *testing.T) {
+		m := newJobMemory(limit)
+		for range limit / 2 / smallBytes {
+			assertTaken(t, m, "a", smallBytes, true)
+		}
+		assertTaken(t, m, "a", smallBytes, false)
+		assertTaken(t, m, "b", smallBytes, true)
+		m.add("a", -smallBytes)
+		assertTaken(t, m, "a", smallBytes, true)
+	})
+	t.Run("a single job of any size fits", func(t *testing.T) {
+		m := newJobMemory(limit)
+		assertTaken(t, m, "a", 2*limit, true)
+		assertTaken(t, m, "b", 1, false)
+		m.add("a", -2*limit)
+		assert.Equal(t, len(m.workspaces), 0)
+	})
+}
--- a/internal/jobkeeper/records.go
+++ b/internal/jobkeeper/records.go
@@ -301,7 +301,7 @@
 	k.log(id).WithFields(logrus.Fields{"former-owner": former, "listed": r.Listed, "total": r.Total, "version": version}).Info("job taken over")
 	j := newJob(m, r, version, listed)
 	j.takenOver = true
-	k.memory.add(j.held)
+	k.memory.add(m.Workspace, j.held)
 	j.restoreProgress(saved)
 	k.addOwned(j)
 	return nil
