fix: a repeated submission without room to be decoded is not refused as not run

A job that was accepted may be submitted again, after its answer was lost. If there is no room to decode it within a second, it was answered 503, which promises that nothing of the job runs. The record of the job is looked up first now: 202 if it was accepted, 503 if it does not exist, and an answer that promises nothing if that is unknown, as where an instance has no room for further jobs.

TestRefuse holds the three answers at the owner and at another instance; Refuse is new.

--- a/internal/jobkeeper/check.go
+++ b/internal/jobkeeper/check.go
@@ -73,6 +73,15 @@
 	return !strings.ContainsFunc(s, func(r rune) bool { return r <= ' ' || r == '\x7f' })
 }
 
+// Refuse refuses a job whose items were not looked at, unless it was accepted before; then
+// it returns nil.
+func (k *Keeper) Refuse(ctx context.Context, m Manifest, refusal *refuser.Refusal) *refuser.Refusal {
+	if j, ok := k.owned(m.Job); ok {
+		return checkSameWorkspace(j.manifest.Workspace, m.Workspace)
+	}
+	return k.refuseUnlessAccepted(ctx, m, refusal)
+}
+
 // refuseUnlessAccepted refuses a job, unless an earlier build has accepted it.
 func (k *Keeper) refuseUnlessAccepted(ctx context.Context, m Manifest, refusal *refuser.Refusal) *refuser.Refusal {
 	if !k.mayExist(m.Job) {
--- a/internal/jobkeeper/memory_test.go
+++ b/internal/jobkeeper/memory_test.go
@@ -162,3 +162,21 @@
 		assert.Equal(t, len(m.workspaces), 0)
 	})
 }
+
+// TestRefuse guards against a refusal that says of an accepted job that it does not run.
+func TestRefuse(t *testing.T) {
+	c := newTestCluster()
+	owner, other := c.startKeeper(t, "k1"), c.startKeeper(t, "k2")
+	submit(t, owner, manifest("i1"))
+	for _, k := range []*Keeper{owner, other} {
+		m := Manifest{Job: jobID, Workspace: workspace}
+		assert.Assert(t, k.Refuse(t.Context(), m, memoryRefusal()) == nil, "an accepted job is refused")
+		m.Workspace = "w2"
+		assert.Equal(t, k.Refuse(t.Context(), m, memoryRefusal()).Code, refuser.JobConflict)
+		m.Job = "j9"
+		assert.Equal(t, k.Refuse(t.Context(), m, memoryRefusal()).Code, refuser.Overloaded)
+	}
+	c.store.SetFault(func(string) storeemulator.Fault { return storeemulator.Down })
+	assert.Equal(t, other.Refuse(t.Context(), Manifest{Job: "j9", Workspace: workspace}, memoryRefusal()).Outcome, refuser.Unknown)
+	c.store.SetFault(func(string) storeemulator.Fault { return storeemulator.None })
+}
