fix: answers with malformed field names do not reach callers

Callers got answers of an engine in trouble whose head had a blank in or after the name of a field: with the line "X A: 1" passed on, whatever the status, also as a stream; with the first three of five bytes as a whole answer, for "Content-Length : 3"; as signed answers or as refusals that state that the request had not run, for "X-Response-Stamp : ..." and "X-Not-Executed : 1".

Cause: headreader.Check trimmed the names of fields and compared them with Content-Length and Transfer-Encoding; no name was checked. The HTTP library accepts blanks inside names and drops those before the colon. It refuses control bytes itself.

Change: each line of a head must be a field whose name is a token that is directly followed by the colon (httpguts). The check stands before all answers of engines, interim ones and those to other requests too, and before the answers of the store, its watches and orders. A refused head is CauseMalformed, as before for others: a request that may run again is tried elsewhere, and one that may not gets 502.

The case "No-Value" of TestCheck, a line without a colon, was listed as valid. It is no field line (RFC 9112, section 5). "No-Value:" takes its place among the valid heads, and "No-Colon" is among the malformed ones.

--- a/internal/headreader/headreader.go
+++ b/internal/headreader/headreader.go
@@ -1,6 +1,6 @@
 // Package headreader checks the heads of HTTP/1 responses before a client parses them.
 // Clients that are lenient, or that represent a missing value as a default, take malformed
-// heads for valid ones: a status of 000 for 200, for example.
+// heads for valid ones: a status of 000 for 200, or "Content-Length : 3" for a length.
 package headreader
 
 import (
@@ -10,6 +10,7 @@
 	"io"
 
 	"github.com/ansel1/merry/v2"
+	"golang.org/x/net/http/httpguts"
 )
 
 // Errors of Check.
@@ -95,19 +96,21 @@
 }
 
 // parseHead returns the status of a head, and whether the head is valid: it has a known
-// version, a status, and at most one statement of the length of the body.
+// version, a status, only fields with valid names, and at most one statement of the length
+// of the body.
 func parseHead(head []byte) (status int, ok bool) {
 	line, rest := nextLine(head)
 	status, ok = parseStatusLine(line)
 	framings := 0
-	for ok && len(rest) > 0 {
+	for ok {
 		line, rest = nextLine(rest)
-		if len(line) > 0 && (line[0] == ' ' || line[0] == '\t') {
-			return 0, false // The continuation of a line, which may hide a length.
+		if len(line) == 0 {
+			break
 		}
-		name, value, _ := bytes.Cut(line, []byte(":"))
-		name, value = bytes.TrimSpace(name), bytes.TrimSpace(value)
+		name, value, valid := cutField(line)
 		switch {
+		case !valid:
+			return 0, false
 		case bytes.EqualFold(name, contentLength):
 			framings++
 			ok = isLength(value)
@@ -119,6 +122,14 @@
 	return status, ok && framings <= 1
 }
 
+// cutField returns the name and the value of a field line. The name must be a token that
+// is directly followed by the colon (RFC 9110, section 5.1; RFC 9112, section 5.1), so
+// that the continuation of a line is no field.
+func cutField(line []byte) (name, value []byte, ok bool) {
+	name, value, ok = bytes.Cut(line, []byte(":"))
+	return name, bytes.TrimSpace(value), ok && httpguts.ValidHeaderFieldName(string(name))
+}
+
 func nextLine(b []byte) (line, rest []byte) {
 	line, rest, _ = bytes.Cut(b, []byte("\n"))
 	return bytes.TrimSuffix(line, []byte("\r")), rest
--- a/internal/headreader/headreader_test.go
+++ b/internal/headreader/headreader_test.go
@@ -12,6 +12,9 @@
 	"gotest.tools/v3/assert"
 )
 
+// tokenCharacters are all characters of the name of a field (RFC 9110, section 5.6.2).
+const tokenCharacters = "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+
 func check(text string) (rest string, err error) {
 	r := bufio.NewReaderSize(iotest.OneByteReader(strings.NewReader(text)), 256)
 	if err := Check(r); err != nil {
@@ -30,7 +33,8 @@
 		"HTTP/1.1 204 \r\n\r\n",
 		"HTTP/1.1 200 OK\ncontent-length:0\n\nHTTP/1.1 000 X\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n0\r\n\r\n",
-		"HTTP/1.1 200 OK\r\nX-Content-Length: -1\r\nNo-Value\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX-Content-Length: -1\r\nNo-Value:\r\n\r\n",
+		"HTTP/1.1 200 OK\r\n" + tokenCharacters + ":a\r\nX: \t\r\nY: a\tb \xc3\xa9\xff : c\r\n\r\n",
 	} {
 		t.Run("valid: "+head, func(t *testing.T) {
 			for _, interim := range []string{"", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Hints\r\nLink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n"} {
@@ -50,6 +54,9 @@
 		"Content-Length: 9999999999999999999", "Content-Length: 1\r\ncontent-length: 1", "Content-Length: 1\r\nX: y\r\nContent-Length: 2",
 		"Content-Length: 1\r\nTransfer-Encoding: chunked", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked", "Transfer-Encoding: gzip, chunked",
 		"Content-Length:\r\n 5", "X: y\r\n\tz",
+		"X A: 1", "X : 1", "X\t: 1", "X\tA: 1", "Content-Length : 1", "Content-Length\t: 1", "Transfer-Encoding : chunked", ": 1", ":", " : 1",
+		"No-Colon", "Content-Length 1", "X\x00A: 1", "X\x01: 1", "X\x0b: 1", "\x0bX: 1", "X\x7f: 1", "X\rA: 1", "X\r: 1", "\r", "X(A): 1", "X\xc3\xa9: 1", "\u00a0X: 1",
+		"X: y\r\nX A: 1", "X A: 1\r\nContent-Length: 2",
 	}
 	var malformed []string
 	for _, line := range statusLines {
@@ -58,7 +65,8 @@
 	for _, field := range fields {
 		malformed = append(malformed, "HTTP/1.1 200 OK\r\n"+field+"\r\n\r\nab")
 	}
-	malformed = append(malformed, strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", maxInterim+1)+"HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 X\r\n\r\n")
+	malformed = append(malformed, strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", maxInterim+1)+"HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 X\r\n\r\n",
+		"HTTP/1.1 103 Hints\r\nX A: 1\r\n\r\nHTTP/1.1 200 OK\r\n\r\n")
 	for _, head := range malformed {
 		t.Run("malformed: "+head, func(t *testing.T) {
 			_, err := check(head)
--- a/internal/orderer/orderer_test.go
+++ b/internal/orderer/orderer_test.go
@@ -32,7 +32,7 @@
 		}()
 		return New().Execute(t.Context(), placer.Order{Server: declarer.BackendServer{Address: listener.Addr().String()}})
 	}
-	for _, statusLine := range []string{"HTTP/1.1 000 X", "HTTP/2.0 200 OK"} {
+	for _, statusLine := range []string{"HTTP/1.1 000 X", "HTTP/2.0 200 OK", "HTTP/1.1 200 OK\r\nX A: 1", "HTTP/1.1 200 OK\r\nX : 1", "HTTP/1.1 200 OK\r\nX\x01: 1"} {
 		t.Run(statusLine, func(t *testing.T) { assert.Assert(t, execute(t, statusLine) != nil) })
 	}
 	t.Run("a valid answer", func(t *testing.T) { assert.NilError(t, execute(t, "HTTP/1.1 200 OK")) })
--- a/internal/sender/malformed_test.go
+++ b/internal/sender/malformed_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
+	"strconv"
 	"syscall"
 	"testing"
 	"time"
@@ -12,6 +14,15 @@
 	"gotest.tools/v3/assert"
 )
 
+func assertMalformed(t *testing.T, answer string) {
+	t.Helper()
+	r := get(startScripted(t, answer))
+	r.AllowUnframed = true
+	text, err := readAll(t, New(Config{}), r)
+	assert.Assert(t, err != nil, "%q counts as the answer %q", answer, text)
+	assertFailure(t, err, CauseMalformed, true)
+}
+
 // TestMalformedAnswers guards against a malformed answer that counts as a valid one: the
 // library represents a status of 000 as 200.
 func TestMalformedAnswers(t *testing.T) {
@@ -23,12 +34,51 @@
 		"HTTP/1.1 101 Switching Protocols\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n",
 	} {
 		t.Run(head, func(t *testing.T) {
-			r := get(startScripted(t, head+"\r\nab"))
-			r.AllowUnframed = true
-			_, err := readAll(t, New(Config{}), r)
-			assertFailure(t, err, CauseMalformed, true)
+			assertMalformed(t, head+"\r\nab")
 		})
 	}
+	framings := map[string]string{
+		"a length": "Content-Length: 5\r\n", "chunks": "Transfer-Encoding: chunked\r\n", "no length": "",
+	}
+	for framing, line := range framings {
+		body := "whole"
+		if framing == "chunks" {
+			body = chunk(body) + chunk("")
+		}
+		for _, field := range []string{
+			"X A: 1", "X : 1", "X\t: 1", "X\tA: 1", "Content-Type : 3", "Retry-After : 3", ": 1", "No-Colon",
+			"X\x00A: 1", "X\x01A: 1", "X\x0bA: 1", "X\x7fA: 1", "X\rA: 1", "X\x01: 1", "X\r: 1", "X\xc3\xa9: 1",
+		} {
+			t.Run(strconv.Quote(field)+" beside "+framing, func(t *testing.T) {
+				assertMalformed(t, "HTTP/1.1 200 OK\r\n"+field+"\r\n"+line+"\r\n"+body)
+				assertMalformed(t, "HTTP/1.1 200 OK\r\n"+line+field+"\r\n\r\n"+body)
+			})
+		}
+	}
+	for _, field := range []string{"Content-Length : 3", "Content-Length\t: 3", "Transfer-Encoding : chunked"} {
+		t.Run(strconv.Quote(field), func(t *testing.T) {
+			assertMalformed(t, "HTTP/1.1 200 OK\r\n"+field+"\r\n\r\nwhole")
+		})
+	}
+	t.Run("the head of an interim answer", func(t *testing.T) {
+		assertMalformed(t, "HTTP/1.1 103 Hints\r\nX A: 1\r\n\r\n"+fixedLengthHead+"whole")
+	})
+	t.Run("the head of an answer to another request", func(t *testing.T) {
+		r := get(startScripted(t, "HTTP/1.1 200 OK\r\nX-Id: 0\r\nContent-Length : 0\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 5\r\n\r\nwhole"))
+		r.AllowUnframed, r.EchoField = true, Field{Name: "X-Id", Value: "1"}
+		_, err := readAll(t, New(Config{}), r)
+		assertFailure(t, err, CauseMalformed, true)
+	})
+	t.Run("sound fields", func(t *testing.T) {
+		r := get(startScripted(t, "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09: a\r\nX-Empty:\r\nX-Text:\ta\tb \xc3\xa9\xff : c \r\nContent-Length: 5\r\n\r\nwhole"))
+		r.KeepHeader = func(string) bool { return true }
+		a, err := New(Config{}).Send(t.Context(), r)
+		assert.NilError(t, err)
+		assert.Equal(t, string(a.Body), "whole")
+		for _, want := range []Field{{"!#$%&'*+-.^_`|~09", "a"}, {"X-Empty", ""}, {"X-Text", "a\tb \xc3\xa9\xff : c"}} {
+			assert.Assert(t, slices.Contains(a.Header, want), "%q in %q", want, a.Header)
+		}
+	})
 	t.Run("interim answers", func(t *testing.T) {
 		r := get(startScripted(t, "HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab"))
 		text, err := readAll(t, New(Config{}), r)
--- a/internal/storer/malformed_test.go
+++ b/internal/storer/malformed_test.go
@@ -39,7 +39,7 @@
 		_, watch = storer.NewClient(cfg).Watch(t.Context(), "k", 0)
 		return get, watch
 	}
-	for _, statusLine := range []string{"HTTP/1.1 000 X", "HTTP/2.0 200 OK", "HTTP/1.1", "HTTP/1.1 200 OK\r\nContent-Length: 2"} {
+	for _, statusLine := range []string{"HTTP/1.1 000 X", "HTTP/2.0 200 OK", "HTTP/1.1", "HTTP/1.1 200 OK\r\nContent-Length: 2", "HTTP/1.1 200 OK\r\nX A: 1", "HTTP/1.1 200 OK\r\nX : 1", "HTTP/1.1 200 OK\r\nX\x01: 1"} {
 		t.Run(statusLine, func(t *testing.T) {
 			get, watch := read(t, statusLine)
 			assert.ErrorIs(t, get, storer.ErrUnavailable)
