fix: malformed field names do not come through peers of earlier builds

A caller of an instance that is cut off from the servers, or may send only through the holders of a server's limit, got an answer with a line such as "X A: 1" if the peer that made the attempt is of an earlier build: that build passes on whatever its HTTP library accepts. Found by reading.

Cause: the head of an answer that comes through a peer was checked for its outcome and status only.

Change: a head with a field whose name is no token is a malformed answer of the server, as it is where the request was sent directly.

Nine new subtests of TestSendThroughPeer fail without the change (no error) and pass with it; one with sound fields passes. What an earlier build has already read wrongly, such as "X-Not-Executed : 1" as a statement, cannot be told from a sound answer here.

--- a/internal/tunneler/messages.go
+++ b/internal/tunneler/messages.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"golang.org/x/net/http/httpguts"
 
 	"github.com/quetzalhitch/quetzalhitch/internal/balancer"
 	"github.com/quetzalhitch/quetzalhitch/internal/forwarder"
@@ -110,6 +111,12 @@
 	return slices.Contains(outcomes, h.Outcome) && h.Status >= minStatus && h.Status <= maxStatus
 }
 
+// hasValidFieldNames reports whether the names of all fields are tokens. Peers of earlier
+// builds pass on malformed heads of servers.
+func (h head) hasValidFieldNames() bool {
+	return !slices.ContainsFunc(h.Header, func(f field) bool { return !httpguts.ValidHeaderFieldName(f.Name) })
+}
+
 // answer returns the answer without its stream.
 func (h head) answer() *forwarder.Answer {
 	return &forwarder.Answer{Outcome: h.Outcome, Status: h.Status, Header: headerOf(h.Header), Body: h.Body}
--- a/internal/tunneler/tunneler.go
+++ b/internal/tunneler/tunneler.go
@@ -206,6 +206,10 @@
 		parts.Close()
 		return nil, &sender.Failure{Cause: sender.CausePeer, Dispatched: true, Err: merry.Errorf("peer names no valid answer: outcome %q, status %d", h.Outcome, h.Status)}
 	}
+	if !h.hasValidFieldNames() {
+		parts.Close()
+		return nil, &sender.Failure{Cause: sender.CauseMalformed, Dispatched: true, Err: merry.Errorf("answer with status %d has a malformed field name", h.Status)}
+	}
 	t.peers.recordAnswer(id, message.Service, t.cfg.Clock.Now())
 	answer = h.answer()
 	if !h.Stream {
--- a/internal/tunneler/tunneler_test.go
+++ b/internal/tunneler/tunneler_test.go
@@ -280,6 +280,33 @@
 			assertFailure(t, err, sender.CausePeer, true)
 		})
 	}
+	for _, name := range []string{"X A", "X ", "", "X\tA", "X\x01", "X\x7f", "X\r", "X:", "X\xc3\xa9"} {
+		t.Run("a peer that passes on the field name "+strconv.Quote(name), func(t *testing.T) {
+			for _, kind := range []routefinder.Kind{routefinder.KindIdempotent, routefinder.KindStream} {
+				f := newFleet(t, true, false)
+				f[1].servers.set(func(s *fakeServers) {
+					s.answer = &forwarder.Answer{Outcome: forwarder.AnswerSucceeded, Status: 200, Header: []sender.Field{{Name: "A", Value: "b"}, {Name: name, Value: "1"}}}
+					if kind == routefinder.KindStream {
+						s.answer.Stream = &fakeStream{ctx: t.Context(), end: io.EOF}
+					}
+				})
+				_, err := f.send(t.Context(), kind)
+				assertFailure(t, err, sender.CauseMalformed, true)
+				f[0].servers.set(func(s *fakeServers) { assert.Equal(t, len(s.observed), 0) })
+				assert.Equal(t, f[1].servers.count(), 1)
+			}
+		})
+	}
+	t.Run("a peer that passes on sound fields", func(t *testing.T) {
+		f := newFleet(t, true, false)
+		header := []sender.Field{{Name: "!#$%&'*+-.^_`|~09Az", Value: "a"}, {Name: "X-Empty"}, {Name: "X-Text", Value: "a\tb \xff : c"}}
+		f[1].servers.set(func(s *fakeServers) {
+			s.answer = &forwarder.Answer{Outcome: forwarder.AnswerSucceeded, Status: 200, Header: header}
+		})
+		answer, err := f.send(t.Context(), routefinder.KindIdempotent)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, answer.Header, header)
+	})
 	t.Run("a peer that leaves", func(t *testing.T) {
 		f := newFleet(t, true, false)
 		f[1].Leave()
