fix: an answer with a malformed trailer does not count as whole

A caller got an answer in chunks as a whole one although a line of its trailer had a blank in or after the name of a field, or continued the line before. The line itself was dropped.

Cause: the HTTP library read trailers. It accepts blanks inside names and drops those before the colon, so that they cannot be found in what it returns. It also returned a connection that ended or went silent in a trailer as a malformed answer.

Change: the library reads heads only. Bodies are read by the sender, those in chunks with the chunk reader of net/http/httputil, and headreader.DiscardTrailer checks the trailer section in the same way as a head and drops it. Fields that may not stand in a trailer, and control bytes in values, stay malformed. Events do not wait for the trailer.

Six subtests of TestMalformedTrailers fail without the change: four malformed lines, a connection that is closed in the trailer, and one that goes silent there. All pass with it. TestFailedAnswersLeaveNoGarbage fails under the race detector, three of three runs before the change and three of three after.

--- a/internal/headreader/headreader.go
+++ b/internal/headreader/headreader.go
@@ -1,4 +1,5 @@
-// Package headreader checks the heads of HTTP/1 responses before a client parses them.
+// Package headreader checks the heads of HTTP/1 responses before a client parses them, and
+// the trailers of those that come in chunks.
 // Clients that are lenient, or that represent a missing value as a default, take malformed
 // heads for valid ones: a status of 000 for 200, or "Content-Length : 3" for a length.
 package headreader
@@ -13,10 +14,10 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// Errors of Check.
+// Errors of Check and DiscardTrailer.
 var (
-	ErrMalformed = merry.Sentinel("the head of the response is malformed")
-	ErrTooLarge  = merry.Sentinel("the head of the response exceeds its size limit")
+	ErrMalformed = merry.Sentinel("the head or trailer of the response is malformed")
+	ErrTooLarge  = merry.Sentinel("the head or trailer of the response exceeds its size limit")
 )
 
 const (
@@ -60,6 +61,23 @@
 	return ErrMalformed
 }
 
+// DiscardTrailer reads the trailer section that follows the last chunk of a body, and
+// reports whether it is valid. It may be as long as the buffer of the reader.
+func DiscardTrailer(r *bufio.Reader) error {
+	trailer, err := peekHead(r)
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return err
+	}
+	if !isTrailer(trailer) {
+		return ErrMalformed
+	}
+	_, err = r.Discard(len(trailer))
+	return err
+}
+
 // peekHead returns the bytes up to and including the first empty line.
 func peekHead(r *bufio.Reader) (head []byte, err error) {
 	for {
@@ -122,6 +140,22 @@
 	return status, ok && framings <= 1
 }
 
+// isTrailer reports whether all lines of a trailer section are valid fields that may stand
+// there, which those that state the length of the body may not.
+func isTrailer(section []byte) bool {
+	for {
+		line, rest := nextLine(section)
+		if len(line) == 0 {
+			return true
+		}
+		name, value, valid := cutField(line)
+		if !valid || !httpguts.ValidTrailerHeader(string(name)) || !httpguts.ValidHeaderFieldValue(string(value)) {
+			return false
+		}
+		section = rest
+	}
+}
+
 // cutField returns the name and the value of a field line. The name must be a token that
 // is directly followed by the colon (RFC 9110, section 5.1; RFC 9112, section 5.1), so
 // that the continuation of a line is no field.
--- a/internal/sender/answer.go
+++ b/internal/sender/answer.go
@@ -75,7 +75,7 @@
 	a := e.newAnswer()
 	a.Stream = true
 	a.exchange = e
-	a.reader = bufio.NewReader(e.answer.BodyStream())
+	a.reader = bufio.NewReader(e.body)
 	return a
 }
 
--- a/internal/sender/exchange.go
+++ b/internal/sender/exchange.go
@@ -57,8 +57,9 @@
 	stopCancelWatch func() bool      // Returns false if ctx ended and closed the connection.
 	reader          *bufio.Reader
 	client          *fasthttp.HostClient
-	answer          *fasthttp.Response
-	held            *budget // Of the sender.
+	answer          *fasthttp.Response // Its head.
+	body            io.Reader          // Of the answer; nil if it has none.
+	held            *budget            // Of the sender.
 }
 
 // Send sends a request once, without retries. The error is a *Failure. The caller
@@ -152,21 +153,20 @@
 // maxMismatchedAnswers answers to earlier requests.
 func (e *exchange) readHead() error {
 	for range maxMismatchedAnswers + 1 {
-		e.answer.StreamBody = true
-		e.answer.SkipBody = e.request.Method == fasthttp.MethodHead
+		e.answer.SkipBody = true
 		if err := headreader.Check(e.reader); err != nil {
 			return err
 		}
 		if err := e.answer.ReadLimitBody(e.reader, 0); err != nil {
 			return err
 		}
+		e.body = e.openBody()
 		if !e.isMismatched() {
 			return nil
 		}
 		if err := e.skipBody(); err != nil {
 			return err
 		}
-		_ = e.answer.CloseBodyStream()
 		e.answer.Reset()
 	}
 	return errMismatchedAnswer
@@ -175,11 +175,10 @@
 // skipBody reads the body of an answer to another request to its end. Otherwise its
 // rest would be taken for the next answer.
 func (e *exchange) skipBody() error {
-	stream := e.answer.BodyStream()
-	if stream == nil {
+	if e.body == nil {
 		return nil
 	}
-	n, err := io.Copy(io.Discard, io.LimitReader(stream, int64(e.cfg.MaxAnswerBytes)+1))
+	n, err := io.Copy(io.Discard, io.LimitReader(e.body, int64(e.cfg.MaxAnswerBytes)+1))
 	if err == nil && n > int64(e.cfg.MaxAnswerBytes) {
 		return errTooLarge
 	}
@@ -241,7 +240,7 @@
 func (e *exchange) isEventStream() bool {
 	contentType, _, _ := strings.Cut(string(e.answer.Header.ContentType()), ";")
 	return e.answer.StatusCode() == fasthttp.StatusOK &&
-		e.answer.BodyStream() != nil &&
+		e.body != nil &&
 		strings.EqualFold(strings.TrimSpace(contentType), "text/event-stream")
 }
 
@@ -256,14 +255,13 @@
 
 func (e *exchange) readBody() (_ *Answer, err error) {
 	a := e.newAnswer()
-	stream := e.answer.BodyStream()
-	if stream != nil {
+	if e.body != nil {
 		if !e.hasDeclaredEnd() {
 			return nil, errTruncated
 		}
 		body := buffer{budget: e.held}
 		defer body.release()
-		if err := body.readAll(stream, e.cfg.MaxAnswerBytes); err != nil {
+		if err := body.readAll(e.body, e.cfg.MaxAnswerBytes); err != nil {
 			return nil, err
 		}
 		if !e.isFramed() && !e.conn.endedInOrder() {
@@ -280,7 +278,6 @@
 func (e *exchange) finish(complete bool) {
 	notCancelled := e.stopCancelWatch()
 	reuse := complete && e.isFramed() && notCancelled && e.reader.Buffered() == 0 && !e.answer.ConnectionClose()
-	_ = e.answer.CloseBodyStream()
 	e.client.ReleaseReader(e.reader)
 	fasthttp.ReleaseResponse(e.answer)
 	e.release(reuse)
