fix: control bytes at the ends of field values are not trimmed

Not seen by callers. headreader trimmed all white space of Unicode from values, so that a trailer field such as "X: 1\v" has passed since trailers are checked there; the library refused it before. In heads the library refuses such values itself. Only spaces and tabs may surround a value (RFC 9110, section 5.5).

The functions that read heads and trailers are named for both.

--- a/internal/headreader/headreader.go
+++ b/internal/headreader/headreader.go
@@ -1,7 +1,7 @@
-// Package headreader checks the heads of HTTP/1 responses before a client parses them, and
-// the trailers of those that come in chunks.
-// Clients that are lenient, or that represent a missing value as a default, take malformed
-// heads for valid ones: a status of 000 for 200, or "Content-Length : 3" for a length.
+// Package headreader checks the heads and trailers of HTTP/1 responses before a client
+// parses them. Clients that are lenient, or that represent a missing value as a default,
+// take malformed heads for valid ones: a status of 000 for 200, or "Content-Length : 3" for
+// a length.
 package headreader
 
 import (
@@ -43,7 +43,7 @@
 // as the buffer of the reader.
 func Check(r *bufio.Reader) error {
 	for range maxInterim + 1 {
-		head, err := peekHead(r)
+		head, err := peekSection(r)
 		if err != nil {
 			return err
 		}
@@ -61,10 +61,10 @@
 	return ErrMalformed
 }
 
-// DiscardTrailer reads the trailer section that follows the last chunk of a body, and
-// reports whether it is valid. It may be as long as the buffer of the reader.
+// DiscardTrailer waits for the trailer section after the last chunk of a body, discards it,
+// and reports whether it is valid. It may be as long as the buffer of the reader.
 func DiscardTrailer(r *bufio.Reader) error {
-	trailer, err := peekHead(r)
+	trailer, err := peekSection(r)
 	if errors.Is(err, io.EOF) {
 		return io.ErrUnexpectedEOF
 	}
@@ -78,11 +78,12 @@
 	return err
 }
 
-// peekHead returns the bytes up to and including the first empty line.
-func peekHead(r *bufio.Reader) (head []byte, err error) {
+// peekSection returns the bytes of a head or trailer up to and including the first empty
+// line.
+func peekSection(r *bufio.Reader) (section []byte, err error) {
 	for {
 		buffered, _ := r.Peek(r.Buffered())
-		if n := headLength(buffered); n > 0 {
+		if n := sectionLength(buffered); n > 0 {
 			return buffered[:n], nil
 		}
 		if len(buffered) == r.Size() {
@@ -98,8 +99,9 @@
 	}
 }
 
-// headLength returns the length of the head at the start of b, or 0 if it is incomplete.
-func headLength(b []byte) int {
+// sectionLength returns the length of the section at the start of b, or 0 if it is
+// incomplete.
+func sectionLength(b []byte) int {
 	for start := 0; ; {
 		n := bytes.IndexByte(b[start:], '\n')
 		if n < 0 {
@@ -161,7 +163,7 @@
 // that the continuation of a line is no field.
 func cutField(line []byte) (name, value []byte, ok bool) {
 	name, value, ok = bytes.Cut(line, []byte(":"))
-	return name, bytes.TrimSpace(value), ok && httpguts.ValidHeaderFieldName(string(name))
+	return name, bytes.Trim(value, " \t"), ok && httpguts.ValidHeaderFieldName(string(name))
 }
 
 func nextLine(b []byte) (line, rest []byte) {
--- a/internal/headreader/headreader_test.go
+++ b/internal/headreader/headreader_test.go
@@ -50,7 +50,7 @@
 		"ICY 200 OK", "http/1.1 200 OK", "200 OK", "", " HTTP/1.1 200 OK", "HTTP/1.1 101 Switching",
 	}
 	fields := []string{
-		"Content-Length: -1", "Content-Length: +1", "Content-Length:", "Content-Length: 1x", "Content-Length: 1 1", "Content-Length: 1, 1", "content-length : -5",
+		"Content-Length: -1", "Content-Length: +1", "Content-Length:", "Content-Length: 1x", "Content-Length: 1 1", "Content-Length: 1, 1", "content-length : -5", "Content-Length: \v1", "Content-Length: 1\u00a0",
 		"Content-Length: 9999999999999999999", "Content-Length: 1\r\ncontent-length: 1", "Content-Length: 1\r\nX: y\r\nContent-Length: 2",
 		"Content-Length: 1\r\nTransfer-Encoding: chunked", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked", "Transfer-Encoding: gzip, chunked",
 		"Content-Length:\r\n 5", "X: y\r\n\tz",
@@ -88,6 +88,46 @@
 	})
 }
 
+// TestDiscardTrailer guards against malformed trailers that are taken for valid ones, and
+// against bytes after a trailer that are lost.
+func TestDiscardTrailer(t *testing.T) {
+	discard := func(text string) (rest string, err error) {
+		r := bufio.NewReaderSize(iotest.OneByteReader(strings.NewReader(text)), 256)
+		if err := DiscardTrailer(r); err != nil {
+			return "", err
+		}
+		data, err := io.ReadAll(r)
+		return string(data), err
+	}
+	const next = "HTTP/1.1 200 OK\r\n"
+	for _, trailer := range []string{"\r\n", "\n", "X: y\r\n\r\n", tokenCharacters + ":a\r\nX: \t\r\nY: a\tb \xc3\xa9\xff : c\r\n\r\n"} {
+		t.Run("valid: "+trailer, func(t *testing.T) {
+			rest, err := discard(trailer + next)
+			assert.NilError(t, err)
+			assert.Equal(t, rest, next)
+		})
+	}
+	for _, field := range []string{
+		"X A: 1", "X : 1", " X: 1", "X: y\r\n z", ": 1", "No-Colon", "X\x01: 1", "X: \x01", "X: 1\v", "Content-Length: 1", "transfer-encoding: chunked", "X: y\r\nX A: 1",
+	} {
+		t.Run("malformed: "+field, func(t *testing.T) {
+			_, err := discard(field + "\r\n\r\n" + next)
+			assert.ErrorIs(t, err, ErrMalformed)
+		})
+	}
+	t.Run("broken off", func(t *testing.T) {
+		const trailer = "X: y\r\n\r\n"
+		for n := range len(trailer) {
+			_, err := discard(trailer[:n])
+			assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+		}
+	})
+	t.Run("without end", func(t *testing.T) {
+		_, err := discard(strings.Repeat("A: b\r\n", 100))
+		assert.ErrorIs(t, err, ErrTooLarge)
+	})
+}
+
 // TestConn guards against a malformed response on a connection that is reused.
 func TestConn(t *testing.T) {
 	near, far := net.Pipe()
--- a/internal/sender/trailer_test.go
+++ b/internal/sender/trailer_test.go
@@ -20,7 +20,7 @@
 	const events = "data: a\n\ndata: b\n\n"
 	for _, line := range []string{
 		"X A: 1", "X : 1", "X\t: 1", "X\tA: 1", ": 1", "No-Colon", " X: 1", "X-A: 1\r\n b", "X-A: 1\r\nX A: 1", "X(A): 1", "X\xc3\xa9: 1",
-		"X\x00A: 1", "X\x01A: 1", "X\x0bA: 1", "X\x7fA: 1", "X\rA: 1", "X\x01: 1", "X\r: 1", "X-A: \x01",
+		"X\x00A: 1", "X\x01A: 1", "X\x0bA: 1", "X\x7fA: 1", "X\rA: 1", "X\x01: 1", "X\r: 1", "X-A: \x01", "X-A: 1\v",
 		"Content-Length: 3", "Content-Length : 3", "Transfer-Encoding: chunked",
 	} {
 		t.Run(strconv.Quote(line), func(t *testing.T) {
