fix: a sound answer is not refused for a trailer field that is dropped

A caller did not get a whole answer in chunks whose trailer had a field such as Cache-Control or If-Match.

Change: besides malformed fields, only those that state the length of the body make a trailer malformed. Names that the library refused in trailers, such as Content-Type, are dropped now too.

--- a/internal/headreader/headreader.go
+++ b/internal/headreader/headreader.go
@@ -142,8 +142,8 @@
 	return status, ok && framings <= 1
 }
 
-// isTrailer reports whether all lines of a trailer section are valid fields that may stand
-// there, which those that state the length of the body may not.
+// isTrailer reports whether all lines of a trailer section are valid fields, none of which
+// states the length of the body.
 func isTrailer(section []byte) bool {
 	for {
 		line, rest := nextLine(section)
@@ -151,7 +151,7 @@
 			return true
 		}
 		name, value, valid := cutField(line)
-		if !valid || !httpguts.ValidTrailerHeader(string(name)) || !httpguts.ValidHeaderFieldValue(string(value)) {
+		if !valid || !httpguts.ValidHeaderFieldValue(string(value)) || bytes.EqualFold(name, contentLength) || bytes.EqualFold(name, transferEncoding) {
 			return false
 		}
 		section = rest
