review: two more scenarios in the stand-in

Cause: two faults were shown beyond the five cases. Change: the scenarios failure-as-promise and public-batch-route, played by hand.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -16,11 +16,13 @@
 type scenario func(f *fleet, trouble bool) (broken bool, err error)
 
 var scenarios = map[string]scenario{
-	"open-job-removed":  openJobRemoved,
-	"end-not-delivered": endNotDelivered,
-	"host-removed":      hostRemoved,
-	"other-weights":     otherWeights,
-	"successor-lost":    successorLost,
+	"open-job-removed":   openJobRemoved,
+	"end-not-delivered":  endNotDelivered,
+	"host-removed":       hostRemoved,
+	"other-weights":      otherWeights,
+	"failure-as-promise": failureAsPromise,
+	"public-batch-route": publicBatchRoute,
+	"successor-lost":     successorLost,
 }
 
 // Exit codes of a case.
