--- a/review/standin-2/case_open_job.go
+++ b/review/standin-2/case_open_job.go
@@ -9,8 +9,11 @@
 // more than twice as long, scaled down so that the case takes a minute.
 const shortStatusS = 20
 
+// burstTime is the longest burst of batch jobs on the site.
+const burstTime = 3 * time.Second
+
 // openJobRemoved reads batch jobs that are open until all their items are listed. Six
-// times the usual number of batch jobs comes in four seconds, so that the last items wait
+// times the usual number of batch jobs comes in three seconds, so that the last items wait
 // for more than a minute, which is less than max_wait_s.
 func openJobRemoved(f *fleet, trouble bool) (broken bool, err error) {
 	f.status = shortStatusS
@@ -18,9 +21,9 @@
 		return false, err
 	}
 	const items = 10
-	jobs := 3
+	jobs := 2
 	if trouble {
-		jobs = 16
+		jobs = 12
 	}
 	started := time.Now()
 	next := map[string]int{} // Results that were read, by job.
@@ -30,7 +33,7 @@
 			return false, err
 		}
 		next[job] = 0
-		time.Sleep(4 * time.Second / time.Duration(jobs))
+		time.Sleep(burstTime / time.Duration(jobs))
 	}
 	time.Sleep(settle)
 	for time.Since(started) < 85*time.Second && len(next) > 0 && !broken {
@@ -40,7 +43,7 @@
 			x, v := f.read(fr, onlineHost, job, after)
 			switch {
 			case x.isGone():
-				f.rec.printf("BROKEN: %s answers %d for batch job %s, of which %d of %d results had been read, %.0f s after its 202", fr.name, x.status, job, after, items, time.Since(started).Seconds())
+				f.rec.printf("BROKEN: %s answers %d for batch job %s, of which %d of %d results had been read, %.0f s after the first 202", fr.name, x.status, job, after, items, time.Since(started).Seconds())
 				broken = true
 			case x.status == 200 && v.Next == items:
 				delete(next, job)
