feat: a scan of the job records logs what the instance knew

The log of a run did not tell which instance scanned the records of batch jobs, nor which of the others it knew and succeeded at that time, so that the causes of a job that is left lying could not be told apart: no scan, a scan with another view of the members, or a scan that failed. Each scan has one line now, with the version of the listing, the term, the number of members and of instances that have gone, those that this instance succeeds, and the time since the last scan.

--- a/internal/jobkeeper/sweep.go
+++ b/internal/jobkeeper/sweep.go
@@ -9,6 +9,7 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
 
 	"github.com/quetzalhitch/quetzalhitch/internal/encoder"
 	"github.com/quetzalhitch/quetzalhitch/internal/enroller"
@@ -92,10 +93,7 @@
 		return err
 	}
 	k.dropLostJobs(listing)
-	k.mu.Lock()
-	k.verifiedTerm = term
-	k.scannedAt = k.now()
-	k.mu.Unlock()
+	k.recordScan(term, listing, departed)
 	for _, entry := range listing.Entries {
 		id := strings.TrimPrefix(entry.Key, k.key("run/"))
 		var r Record
@@ -125,6 +123,24 @@
 	return failed
 }
 
+// recordScan records a listing of all records, and logs what this instance knew of the
+// others when it was made.
+func (k *Keeper) recordScan(term int, listing storer.Listing, departed []string) {
+	k.mu.Lock()
+	age := k.now().Sub(k.scannedAt)
+	if k.scannedAt.IsZero() {
+		age = 0
+	}
+	k.verifiedTerm = term
+	k.scannedAt = k.now()
+	fields := logrus.Fields{
+		"records": len(listing.Entries), "version": listing.Version, "term": term, "members": len(k.members), "members-known": k.membersKnown,
+		"departed": len(k.departed), "succeeds": departed, "last-scan-ms": age.Milliseconds(),
+	}
+	k.mu.Unlock()
+	k.cfg.Logger.WithFields(fields).Info("job records scanned")
+}
+
 // markTakeoversDone records that the jobs of departed instances were scanned for.
 func (k *Keeper) markTakeoversDone(ids []string) {
 	k.mu.Lock()
