fix: jobs are not left lying when the successor of their owner is lost too

Cause: an instance scanned the records for the jobs of a lost one only if it had seen that entry disappear and was its successor. When the entry of b-3 ended, c-1 scanned as its successor and left the job to b-4, which had never seen the owner and did not scan.

Change: a scan that finds a job whose owner is gone and whose successor is another instance is repeated after 3 s. If the record is still at the same version, the instance takes the job over itself. Why this works: whoever should have acted is lost, and its own successor scans for its jobs; or it has joined, and scans at its enrolment. Either scan finds the job.

Calls to the store: one further listing of the records per scan that finds such a job, and none otherwise. A job that cannot be taken over is tried once per version of its record by each instance that scans. Nothing that is stored or sent has changed; takeovers are conditional on the version of the record as before, so that earlier builds beside this one can at most conflict.

--- a/internal/jobkeeper/end_test.go
+++ b/internal/jobkeeper/end_test.go
@@ -29,11 +29,17 @@
 
 // awaitScan waits until a keeper has scanned the records once.
 func awaitScan(t *testing.T, k *Keeper) {
+	t.Helper()
+	awaitScanAfter(t, k, time.Time{})
+}
+
+// awaitScanAfter waits until a keeper has scanned the records after a time.
+func awaitScanAfter(t *testing.T, k *Keeper, at time.Time) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		k.mu.Lock()
 		defer k.mu.Unlock()
-		if k.scannedAt.IsZero() {
+		if !k.scannedAt.After(at) {
 			return poll.Continue("the records have not been scanned")
 		}
 		return poll.Success()
--- a/internal/jobkeeper/fixture_test.go
+++ b/internal/jobkeeper/fixture_test.go
@@ -423,3 +423,16 @@
 	s.do()
 	return s.Store.Commit(ctx, t)
 }
+
+// awaitOwnedByOne waits until one of several keepers owns the job.
+func awaitOwnedByOne(t *testing.T, keepers ...*Keeper) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, k := range keepers {
+			if _, owned := k.owned(jobID); owned {
+				return poll.Success()
+			}
+		}
+		return poll.Continue("none owns the job")
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(10*time.Millisecond))
+}
--- a/internal/jobkeeper/keeper.go
+++ b/internal/jobkeeper/keeper.go
@@ -99,6 +99,7 @@
 	admitter      *admitter.Admitter
 	items         metric.Int64Counter
 	sweepRequests chan struct{} // Requests a scan of the records of all jobs.
+	orphans       orphanSet
 	running       conc.WaitGroup
 
 	mu      sync.Mutex
--- a/internal/jobkeeper/sweep.go
+++ b/internal/jobkeeper/sweep.go
@@ -44,7 +44,9 @@
 var errNotEnrolled = merry.Sentinel("not enrolled")
 
 // sweepLoop scans for jobs without an owner on request, for example when members
-// change, and otherwise every sweepInterval.
+// change, and otherwise every sweepInterval. Which job has no owner is read from the store
+// in each scan. What an instance saw of the others only decides when it scans: whoever takes
+// a place of an instance that is gone scans, and finds the jobs that this one left as well.
 func (k *Keeper) sweepLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		period := sweepInterval
@@ -94,6 +96,7 @@
 	}
 	k.dropLostJobs(listing)
 	k.recordScan(term, listing, departed)
+	k.orphans.beginScan()
 	for _, entry := range listing.Entries {
 		id := strings.TrimPrefix(entry.Key, k.key("run/"))
 		var r Record
@@ -106,9 +109,10 @@
 			if k.isSuccessor(id) {
 				k.remove(ctx, id, r, entry.Version)
 			}
-		case !r.Done && !k.hasEnded(id) && k.shouldTakeOver(id, r):
+		case !r.Done && !k.hasEnded(id) && k.shouldTakeOver(id, r, entry.Version):
 			err := k.takeOver(ctx, id, r, entry.Version)
 			if errors.Is(err, errUnusable) || errors.Is(err, storer.ErrRefused) {
+				k.orphans.markTried(id)
 				k.log(id).WithError(err).Error("a job without owner cannot be taken over")
 				continue
 			}
@@ -117,6 +121,9 @@
 			failed = errors.Join(failed, err)
 		}
 	}
+	if k.orphans.endScan(k.now()) {
+		k.cfg.Clock.AfterFunc(orphanTakeoverDelay, k.requestSweep)
+	}
 	if failed == nil {
 		k.markTakeoversDone(departed)
 	}
@@ -178,8 +185,10 @@
 	}
 }
 
-// shouldTakeOver reports whether this instance should become the owner of a job.
-func (k *Keeper) shouldTakeOver(id string, r Record) bool {
+// shouldTakeOver reports whether this instance should become the owner of a job. Of a job
+// whose owner is gone, that is the owner's successor, and any instance that has found the
+// record at the same version for orphanTakeoverDelay.
+func (k *Keeper) shouldTakeOver(id string, r Record, version int64) bool {
 	// In this order: a submission ends after its job is owned.
 	if k.isCreating(id) {
 		return false
@@ -192,14 +201,25 @@
 	}
 	k.mu.Lock()
 	owner, present := k.members[r.Owner]
+	membersKnown := k.membersKnown
 	k.mu.Unlock()
+	if !membersKnown {
+		return false
+	}
 	if present && owner.Incarnation == r.Incarnation && !owner.Leaving {
 		return false
 	}
 	if present && !owner.Leaving {
 		return false // The owner has restarted and takes its jobs up again.
 	}
-	return k.isSuccessor(r.Owner)
+	if k.isSuccessor(r.Owner) {
+		return true
+	}
+	due := k.orphans.find(id, version, k.now())
+	if due {
+		k.log(id).WithFields(logrus.Fields{"owner": r.Owner, "version": version}).Warn("the successor of a job's owner does not take it over; taking it over instead")
+	}
+	return due
 }
 
 func (k *Keeper) isCreating(id string) bool {
