fix: the owner of a job learns from the store that its caller ended it

Cause: the end is in the store, but its owner was notified only from the memory of the instance that had written it. In the log of the case the owner stood still, the call to it got no answer within 0.4 s, and the instance was restarted after its 200. The owner woke with its lease and read the end only when a write of its own conflicted with it, after the items had run.

ApplyEnds ends the jobs in the table and those that are being taken over, and forgets the ends whose keys are gone, so that an ID may be used again. Why this works: nobody has to be alive who knows of the end.

Earlier builds: key and value of an end are unchanged. Copies of the ends are taken only from peers whose reports name them (TestAnyProvides); owners of earlier builds are notified as before.

--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -510,12 +510,27 @@
 // AnyReachesStore reports whether one of the given peers reaches the store and has
 // sent a report within peerTimeout.
 func (g *Gossiper) AnyReachesStore(ids []string) bool {
+	return g.anyConnected(ids, func(*peer) bool { return true })
+}
+
+// AnyProvides reports whether one of the given peers has the copy with a name, beside what
+// AnyReachesStore demands. Earlier builds lack some copies.
+func (g *Gossiper) AnyProvides(ids []string, source string) bool {
+	return g.anyConnected(ids, func(p *peer) bool {
+		_, ok := p.changes[source]
+		return ok
+	})
+}
+
+// anyConnected reports whether one of the given peers reaches the store, has sent a report
+// within peerTimeout, and meets a condition, which is called under g.mu.
+func (g *Gossiper) anyConnected(ids []string, meets func(p *peer) bool) bool {
 	now := g.cfg.Clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return slices.ContainsFunc(ids, func(id string) bool {
 		p := g.peers[id]
-		return p != nil && p.connected && now.Sub(p.lastReportAt) < peerTimeout
+		return p != nil && p.connected && now.Sub(p.lastReportAt) < peerTimeout && meets(p)
 	})
 }
 
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -179,3 +179,26 @@
 	r.clock.Advance(peerTimeout)
 	assert.Assert(t, !r.g.InStep("members"), "the last report is too old")
 }
+
+// TestAnyProvides guards against an instance that waits for a copy from a peer of an earlier
+// build, which does not have it.
+func TestAnyProvides(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		changes map[string]int64
+		want    bool
+	}{
+		{name: "a peer that lacks the copy", changes: map[string]int64{"members": 7}},
+		{name: "a peer whose copy has no changes", changes: map[string]int64{"members": 7, "ended-jobs": 0}, want: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newFixture()
+			payload, err := linker.Marshal(Report{Incarnation: "b1", Sequence: 1, Changes: test.changes, Connected: true})
+			assert.NilError(t, err)
+			_, err = r.g.handleReport(t.Context(), "b", payload)
+			assert.NilError(t, err)
+			assert.Assert(t, r.g.AnyReachesStore([]string{"b"}))
+			assert.Equal(t, r.g.AnyProvides([]string{"b"}, "ended-jobs"), test.want)
+		})
+	}
+}
--- a/internal/jobkeeper/end.go
+++ b/internal/jobkeeper/end.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"time"
 
 	"github.com/quetzalhitch/quetzalhitch/internal/storer"
@@ -14,14 +15,15 @@
 	// its job was ended.
 	notifyRetryDelay = 400 * time.Millisecond
 	// maxNotifyAttempts limits these attempts. An owner that is not notified
-	// learns of the end from the conflict of its next write.
+	// learns of the end from ApplyEnds.
 	maxNotifyAttempts = 20
 )
 
 // End stops a job. Its listed results stay readable. End returns once the end is
 // in the store and one attempt to notify the owner was made. Later owners read
 // the end from the store. If the owner cannot be reached, End keeps retrying in
-// the background; at the latest, the owner's next write conflicts with the end.
+// the background. Whoever may own the job follows the ends in the store as well, since
+// this instance may be gone before it has notified the owner.
 func (k *Keeper) End(ctx context.Context, workspace, id string) *refuser.Refusal {
 	if refusal := k.checkWorkspace(ctx, workspace, id); refusal != nil {
 		return refusal
@@ -42,6 +44,35 @@
 	return nil
 }
 
+// ApplyEnds ends the jobs that the store says have ended, by the entries below
+// Config.EndPrefix, and forgets those whose entries are gone.
+func (k *Keeper) ApplyEnds(entries []storer.Entry) {
+	stored := make(map[string]bool, len(entries))
+	for _, entry := range entries {
+		stored[strings.TrimPrefix(entry.Key, k.cfg.EndPrefix)] = true
+	}
+	k.mu.Lock()
+	for id := range k.storedEnds {
+		if !stored[id] {
+			delete(k.endedJobs, id)
+		}
+	}
+	k.storedEnds = stored
+	var added []string
+	for id := range stored {
+		if !k.endedJobs[id] {
+			added = append(added, id)
+		}
+	}
+	k.mu.Unlock()
+	for _, id := range added {
+		if _, ok := k.owned(id); ok {
+			k.log(id).Info("the store says that the caller ended the job")
+		}
+		k.markEnded(id)
+	}
+}
+
 // retryNotifyOwner notifies the owner that its job was ended, until that
 // succeeds, the attempts are used up or this instance shuts down.
 func (k *Keeper) retryNotifyOwner(id, workspace string) {
--- a/internal/jobkeeper/end_test.go
+++ b/internal/jobkeeper/end_test.go
@@ -151,3 +151,36 @@
 		return poll.Success()
 	}, poll.WithTimeout(5*time.Second))
 }
+
+// TestApplyEnds guards against ends in the store that the owner does not apply, and against
+// jobs that never run because an earlier one with the same ID was ended and removed.
+func TestApplyEnds(t *testing.T) {
+	endEntry := []storer.Entry{{Key: "end/" + jobID, Value: []byte(workspace)}}
+	t.Run("the owner ends its job", func(t *testing.T) {
+		c := newTestCluster()
+		c.client.hold = make(chan struct{})
+		k := c.startKeeper(t, "k1")
+		submit(t, k, manifest("i1"))
+		k.ApplyEnds(endEntry)
+		assertEnded(t, k)
+	})
+	t.Run("a job that is being taken over", func(t *testing.T) {
+		c := newTestCluster()
+		c.client.hold = make(chan struct{})
+		owner, successor := c.startKeeper(t, "k1"), c.startKeeper(t, "k2")
+		submit(t, owner, manifest("i1"))
+		successor.ApplyEnds(endEntry)
+		c.removeFirstMember(t)
+		record, version, err := successor.readRecord(t.Context(), jobID)
+		assert.NilError(t, err)
+		assert.NilError(t, successor.takeOver(t.Context(), jobID, record, version))
+		assertEnded(t, successor)
+	})
+	t.Run("an ID that is used again", func(t *testing.T) {
+		k := newTestCluster().startKeeper(t, "k1")
+		k.ApplyEnds(endEntry)
+		k.ApplyEnds(nil)
+		submit(t, k, manifest("i1"))
+		assertResults(t, awaitResults(t, k, 1), StateCompleted, fullText)
+	})
+}
