--- a/internal/routefinder/routefinder.go
+++ b/internal/routefinder/routefinder.go
@@ -169,11 +169,6 @@
 	return nil, false
 }
 
-// HasHost reports whether the host has any route.
-func (t *Table) HasHost(host string) bool {
-	return len(t.routesByHost[canonicalHost(host)]) > 0
-}
-
 // RouteByName returns the route with the given name.
 func (t *Table) RouteByName(name string) (*Route, bool) {
 	r, ok := t.routesByName[name]
