fix: requests to a route at the path of calls for jobs reach it

Callers of an online route with the prefix /lots/ or /items/ got 404 ("no such job exists") for each request.

Cause: each path below these prefixes was taken for a call for a job.

Change: where the operator has a route of another kind at the very prefix, a GET or DELETE with the ID of a job of the caller's workspace is for the job, and all other requests go to the route. If the store cannot tell, the answer is 503, not run. A batch route there accepts jobs. A shorter prefix, such as /, claims no paths of jobs, as before.

Only requests to such a route cost a read of a record from the store.

--- a/internal/jobkeeper/query.go
+++ b/internal/jobkeeper/query.go
@@ -179,6 +179,16 @@
 
 var notFound = refuser.New(refuser.JobNotFound, refuser.NotRun, "no such job exists")
 
+// Holds reports whether a workspace has a job. It returns a refusal if that cannot be told
+// now.
+func (k *Keeper) Holds(ctx context.Context, workspace, id string) (bool, *refuser.Refusal) {
+	refusal := k.checkWorkspace(ctx, workspace, id)
+	if refusal != nil && refusal.Code == refuser.JobNotFound {
+		return false, nil
+	}
+	return refusal == nil, refusal
+}
+
 // Read returns the results of a job from a position on. If there are none yet, it
 // waits up to wait for the first one.
 func (k *Keeper) Read(ctx context.Context, workspace, id string, after int, wait time.Duration) (View, *refuser.Refusal) {
