fix: an open job is not removed because it is old

Change: a job is removed only when it is done or was ended by its caller, and its retention counts from then: a job that is done late would otherwise be gone before its caller reads the last results. Records have the time at which they were done, and ends the time of the end, which is written once. Why this works: an open job has an owner, or gets one, that lists each item at the latest when it expires, so that nothing open has to be removed and nothing stays for ever. A job without owner of which the store holds a part only is removed when an instance has found it so for the whole retention.

Calls to the store: one read per minute for each ended job older than its retention since the submission, by one instance.

An instance of an earlier build still removes open jobs while there is one.

--- a/internal/jobkeeper/end.go
+++ b/internal/jobkeeper/end.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/quetzalhitch/quetzalhitch/internal/encoder"
 	"github.com/quetzalhitch/quetzalhitch/internal/storer"
 	"github.com/quetzalhitch/quetzalhitch/pkg/refuser"
 )
@@ -28,8 +29,7 @@
 	if refusal := k.checkWorkspace(ctx, workspace, id); refusal != nil {
 		return refusal
 	}
-	_, err := k.cfg.Store.Commit(ctx, storer.Transaction{Writes: []storer.Write{{Key: k.cfg.EndPrefix + id, Value: []byte(workspace)}}})
-	if err != nil {
+	if err := k.storeEnd(ctx, workspace, id); err != nil {
 		k.log(id).WithError(err).Warn("failed to store the end of the job")
 		if errors.Is(err, storer.ErrUnknownEffect) {
 			return refuser.New(refuser.InDoubt, refuser.Unknown, "it is unknown whether the job was ended")
@@ -44,6 +44,23 @@
 	return nil
 }
 
+// storeEnd writes the end of a job, unless the store has it.
+func (k *Keeper) storeEnd(ctx context.Context, workspace, id string) (err error) {
+	value, err := encoder.Marshal(End{Workspace: workspace, EndedAt: k.now()})
+	if err != nil {
+		return err
+	}
+	key := k.cfg.EndPrefix + id
+	_, err = k.cfg.Store.Commit(ctx, storer.Transaction{
+		Expect: []storer.Precondition{{Key: key}},
+		Writes: []storer.Write{{Key: key, Value: value}},
+	})
+	if errors.Is(err, storer.ErrConflict) {
+		return nil // It was ended before.
+	}
+	return err
+}
+
 // ApplyEnds ends the jobs that the store says have ended, by the entries below
 // Config.EndPrefix, and forgets those whose entries are gone.
 func (k *Keeper) ApplyEnds(entries []storer.Entry) {
--- a/internal/jobkeeper/fixture_test.go
+++ b/internal/jobkeeper/fixture_test.go
@@ -233,6 +233,7 @@
 }
 
 type testCluster struct {
+	retention     time.Duration         // Of the keepers that are started next; an hour if it is zero.
 	verdict       balancer.LossVerdict  // On all losses; guarded by client.mu.
 	waitingTokens int64                 // Limit of the route when a keeper starts.
 	versions      [3]string             // Of the three servers when a keeper starts.
@@ -279,11 +280,15 @@
 		Due: time.Minute, MaxWait: time.Minute, WaitingTokens: c.waitingTokens,
 	}}})
 	c.policies = append(c.policies, policies)
+	retention := c.retention
+	if retention == 0 {
+		retention = time.Hour
+	}
 	self := enroller.Member{ID: id, Incarnation: id + "-1"}
 	c.terms[id] = &fakeTerm{n: 1, held: true}
 	k, err := New(Config{
 		Self: self, Prefix: "batch/", EndPrefix: "end/", MembersPrefix: "member/", Store: c.store, Links: fakeLinks{c.network, id},
-		Policies: policies, Terms: c.terms[id], Placer: judgedPlacer{placer, c}, BackendClient: c.client, Retention: time.Hour, Clock: clock, Logger: logger,
+		Policies: policies, Terms: c.terms[id], Placer: judgedPlacer{placer, c}, BackendClient: c.client, Retention: retention, Clock: clock, Logger: logger,
 		Meter: noop.Meter{},
 	})
 	assert.NilError(t, err)
--- a/internal/jobkeeper/flusher.go
+++ b/internal/jobkeeper/flusher.go
@@ -167,6 +167,7 @@
 	a.next.WaitingTokens -= j.tokensOf(a.results)
 	if a.next.Done {
 		a.next.WaitingTokens = 0 // Items of a repeated ID may differ in their tokens.
+		a.next.DoneAt = k.now()
 	}
 	var err error
 	a.transaction, err = k.segmentWrite(j.manifest.Job, a.results, a.next, version)
--- a/internal/jobkeeper/job.go
+++ b/internal/jobkeeper/job.go
@@ -68,12 +68,22 @@
 	Segments    int       `cbor:"segments"` // Segments of results in the store.
 	Listed      int       `cbor:"listed"`   // Results in these segments.
 	Done        bool      `cbor:"done"`     // Every item is listed.
-	Parts       int       `cbor:"parts"`    // Values that the manifest is split into.
-	Tokens      int64     `cbor:"tokens"`   // Of all items.
+	// DoneAt is when the last item was listed, by the clock of the owner. It is zero in open
+	// jobs, and in jobs that owners of earlier builds have completed.
+	DoneAt time.Time `cbor:"done-at,omitzero"`
+	Parts  int       `cbor:"parts"`  // Values that the manifest is split into.
+	Tokens int64     `cbor:"tokens"` // Of all items.
 	// WaitingTokens are those of the items that are not listed.
 	WaitingTokens int64 `cbor:"waiting-tokens"`
 }
 
+// An End is what the store holds of the end of a job by its caller. Earlier builds store
+// the workspace alone, and read nothing of it.
+type End struct {
+	Workspace string    `cbor:"workspace"`
+	EndedAt   time.Time `cbor:"ended-at"`
+}
+
 // A Progress is the last saved checkpoint of an item.
 type Progress struct {
 	Item   string `cbor:"item"`
--- a/internal/jobkeeper/orphan.go
+++ b/internal/jobkeeper/orphan.go
@@ -8,12 +8,14 @@
 // to scan. The delay is longer than a scan and the takeovers of a successor take.
 const orphanTakeoverDelay = 3 * time.Second
 
-// An orphan is an unfinished job whose owner is gone and which another instance should take
-// over.
+// An orphan is an unfinished job without an owner.
 type orphan struct {
-	version int64     // Of the record.
-	seenAt  time.Time // When a scan first found it at this version.
-	tried   bool      // Its takeover failed for good at this version.
+	version int64         // Of the record.
+	seenAt  time.Time     // When a scan first found it at this version.
+	delay   time.Duration // Time from seenAt until this instance takes it over.
+	// unusableSince is when its takeover first failed at this version because the store
+	// holds it in part only; zero if it did not.
+	unusableSince time.Time
 }
 
 // An orphanSet holds the orphans of the last scan. Only the scan loop uses it.
@@ -25,22 +27,27 @@
 func (s *orphanSet) beginScan() { s.found = map[string]orphan{} }
 
 // find records that the scan has found an orphan. It reports whether the orphan is due: it
-// has been one for orphanTakeoverDelay, and nobody has written its record meanwhile.
-func (s *orphanSet) find(id string, version int64, now time.Time) (due bool) {
+// has been one for the delay, and nobody has written its record meanwhile. With a delay, one
+// that is unusable is not due again.
+func (s *orphanSet) find(id string, version int64, delay time.Duration, now time.Time) (due bool) {
 	o, ok := s.known[id]
 	if !ok || o.version != version {
 		o = orphan{version: version, seenAt: now}
 	}
+	o.delay = delay
 	s.found[id] = o
-	return !o.tried && now.Sub(o.seenAt) >= orphanTakeoverDelay
+	return now.Sub(o.seenAt) >= delay && (delay == 0 || o.unusableSince.IsZero())
 }
 
-// markTried records that an orphan found by the scan in progress cannot be taken over.
-func (s *orphanSet) markTried(id string) {
-	if o, ok := s.found[id]; ok {
-		o.tried = true
-		s.found[id] = o
+// markUnusable records that an orphan found by the scan in progress cannot be used. It
+// returns since when that has been so.
+func (s *orphanSet) markUnusable(id string, now time.Time) (since time.Time) {
+	o := s.found[id]
+	if o.unusableSince.IsZero() {
+		o.unusableSince = now
 	}
+	s.found[id] = o
+	return o.unusableSince
 }
 
 // endScan completes a scan. It reports whether some of its orphans are not due yet, for
@@ -48,7 +55,7 @@
 func (s *orphanSet) endScan(now time.Time) (waiting bool) {
 	s.known, s.found = s.found, nil
 	for _, o := range s.known {
-		waiting = waiting || now.Sub(o.seenAt) < orphanTakeoverDelay
+		waiting = waiting || now.Sub(o.seenAt) < o.delay
 	}
 	return waiting
 }
--- a/internal/jobkeeper/orphan_test.go
+++ b/internal/jobkeeper/orphan_test.go
@@ -90,27 +90,30 @@
 func TestOrphanSet(t *testing.T) {
 	now := time.Now()
 	s := orphanSet{}
-	scan := func(version int64, at time.Time) (due, waiting bool) {
-		s.beginScan()
-		due = s.find(jobID, version, at)
-		return due, s.endScan(at)
-	}
 	assertScan := func(t *testing.T, version int64, after time.Duration, wantDue, wantWaiting bool) {
 		t.Helper()
-		due, waiting := scan(version, now.Add(after))
-		assert.Equal(t, due, wantDue)
-		assert.Equal(t, waiting, wantWaiting)
+		s.beginScan()
+		assert.Equal(t, s.find(jobID, version, orphanTakeoverDelay, now.Add(after)), wantDue)
+		assert.Equal(t, s.endScan(now.Add(after)), wantWaiting)
 	}
 	t.Run("a new orphan waits", func(t *testing.T) { assertScan(t, 1, 0, false, true) })
 	t.Run("it is due after the delay", func(t *testing.T) { assertScan(t, 1, orphanTakeoverDelay, true, false) })
 	t.Run("it waits again after a write", func(t *testing.T) { assertScan(t, 2, orphanTakeoverDelay, false, true) })
-	t.Run("it is tried once", func(t *testing.T) {
+	t.Run("an unusable one is tried once", func(t *testing.T) {
+		at := now.Add(2 * orphanTakeoverDelay)
 		s.beginScan()
-		assert.Assert(t, s.find(jobID, 2, now.Add(2*orphanTakeoverDelay)))
-		s.markTried(jobID)
-		s.endScan(now.Add(2 * orphanTakeoverDelay))
+		assert.Assert(t, s.find(jobID, 2, orphanTakeoverDelay, at))
+		assert.Equal(t, s.markUnusable(jobID, at), at)
+		s.endScan(at)
 		assertScan(t, 2, 3*orphanTakeoverDelay, false, false)
 	})
+	t.Run("its successor tries it in each scan", func(t *testing.T) {
+		at := now.Add(4 * orphanTakeoverDelay)
+		s.beginScan()
+		assert.Assert(t, s.find(jobID, 2, 0, at))
+		assert.Equal(t, s.markUnusable(jobID, at), now.Add(2*orphanTakeoverDelay))
+		assert.Assert(t, !s.endScan(at))
+	})
 	t.Run("one that has gone is forgotten", func(t *testing.T) {
 		s.beginScan()
 		assert.Assert(t, !s.endScan(now))
--- a/internal/jobkeeper/sweep.go
+++ b/internal/jobkeeper/sweep.go
@@ -77,8 +77,9 @@
 	}
 }
 
-// sweep takes over the unfinished jobs that this instance should own, and removes
-// jobs whose retention has ended.
+// sweep takes over the unfinished jobs that this instance should own, and removes jobs
+// whose retention has ended. An open job is not removed, however old it is: its owner
+// dead-letters its items once they have expired, so that it ends.
 func (k *Keeper) sweep(ctx context.Context) (failed error) {
 	term, held := k.cfg.Terms.Term()
 	switch {
@@ -105,20 +106,18 @@
 			continue
 		}
 		switch {
-		case k.now().Sub(r.SubmittedAt) > k.cfg.Retention:
-			if k.isSuccessor(id) {
+		case r.Done:
+			if k.isOver(latest(r.SubmittedAt, r.DoneAt)) && k.isSuccessor(id) {
 				k.remove(ctx, id, r, entry.Version)
 			}
-		case !r.Done && !k.hasEnded(id) && k.shouldTakeOver(id, r, entry.Version):
-			err := k.takeOver(ctx, id, r, entry.Version)
-			if errors.Is(err, errUnusable) || errors.Is(err, storer.ErrRefused) {
-				k.orphans.markTried(id)
-				k.log(id).WithError(err).Error("a job without owner cannot be taken over")
-				continue
+		case k.hasEnded(id):
+			if k.isOver(r.SubmittedAt) && k.isSuccessor(id) {
+				k.removeEnded(ctx, id, r, entry.Version)
 			}
+		case k.shouldTakeOver(id, r, entry.Version):
 			// After a conflict the next scan shows whether the job still has no owner: a
 			// late write of the former owner conflicts too.
-			failed = errors.Join(failed, err)
+			failed = errors.Join(failed, k.takeOverOrphan(ctx, id, r, entry.Version))
 		}
 	}
 	if k.orphans.endScan(k.now()) {
@@ -130,6 +129,52 @@
 	return failed
 }
 
+// takeOverOrphan takes over a job without owner. One of which the store holds only a part
+// can never be done: it is left to later scans, and removed when it has been so for the
+// retention.
+func (k *Keeper) takeOverOrphan(ctx context.Context, id string, r Record, version int64) error {
+	err := k.takeOver(ctx, id, r, version)
+	switch {
+	case errors.Is(err, errUnusable):
+		k.log(id).WithError(err).Error("a job without owner cannot be used")
+		if k.isOver(k.orphans.markUnusable(id, k.now())) && k.isSuccessor(r.Owner) {
+			k.remove(ctx, id, r, version)
+		}
+		return nil
+	case errors.Is(err, storer.ErrRefused):
+		k.log(id).WithError(err).Error("a job without owner cannot be taken over")
+		return nil
+	}
+	return err
+}
+
+// isOver reports whether the retention of a job has ended that needs no more work since a
+// time.
+func (k *Keeper) isOver(since time.Time) bool { return k.now().Sub(since) > k.cfg.Retention }
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// removeEnded removes a job that its caller ended, once its retention has ended.
+func (k *Keeper) removeEnded(ctx context.Context, id string, r Record, version int64) {
+	entry, err := k.cfg.Store.Get(ctx, k.cfg.EndPrefix+id)
+	if err != nil {
+		k.log(id).WithError(err).Warn("failed to read the end of a job that may be removed")
+		return
+	}
+	var end End
+	if err := encoder.Unmarshal(entry.Value, &end); err != nil {
+		end = End{} // Of an earlier build.
+	}
+	if k.isOver(latest(r.SubmittedAt, end.EndedAt)) {
+		k.remove(ctx, id, r, version)
+	}
+}
+
 // recordScan records a listing of all records, and logs what this instance knew of the
 // others when it was made.
 func (k *Keeper) recordScan(term int, listing storer.Listing, departed []string) {
@@ -197,7 +242,8 @@
 		return false
 	}
 	if r.Owner == k.cfg.Self.ID {
-		return true // Owned since before a restart, or through a write whose response was lost.
+		// Owned since before a restart, or through a write whose response was lost.
+		return k.orphans.find(id, version, 0, k.now())
 	}
 	k.mu.Lock()
 	owner, present := k.members[r.Owner]
@@ -213,9 +259,9 @@
 		return false // The owner has restarted and takes its jobs up again.
 	}
 	if k.isSuccessor(r.Owner) {
-		return true
+		return k.orphans.find(id, version, 0, k.now())
 	}
-	due := k.orphans.find(id, version, k.now())
+	due := k.orphans.find(id, version, orphanTakeoverDelay, k.now())
 	if due {
 		k.log(id).WithFields(logrus.Fields{"owner": r.Owner, "version": version}).Warn("the successor of a job's owner does not take it over; taking it over instead")
 	}
@@ -266,7 +312,7 @@
 	}
 }
 
-// remove deletes a job whose retention has ended.
+// remove deletes a job whose retention has ended, if its record has not changed.
 func (k *Keeper) remove(ctx context.Context, id string, r Record, version int64) {
 	t := storer.Transaction{
 		Expect: []storer.Precondition{{Key: k.key(recordKey(id)), Version: version}},
