fix: a job that another instance has removed leaves its owner's memory

Cause: one instance, chosen by the ID of the job, removes it from the store and drops it if it is the owner itself. The owner's scans compared its jobs only with the records that were still listed.

Change: a scan drops owned jobs whose records are gone. A record that was written after the listing had begun may be missing in it, so that only jobs whose version is not above that of the listing are dropped. No further calls to the store, and nothing that is stored or sent has changed.

TestRetention/a_job_that_another_instance_removes_leaves_the_memory_of_its_owner fails without the change and passes with it; TestDropLostJobs guards the jobs that are accepted during a listing.

--- a/internal/jobkeeper/retention_test.go
+++ b/internal/jobkeeper/retention_test.go
@@ -129,6 +129,31 @@
 		assert.Assert(t, isStored(t, k), "removed before its retention had ended")
 		awaitRemoval(t, c, k)
 	})
+	t.Run("a job that another instance removes leaves the memory of its owner", func(t *testing.T) {
+		c, k := startRetaining(t)
+		submit(t, k, manifest("i1"))
+		awaitResults(t, k, 1)
+		_, err := c.store.Commit(t.Context(), storer.Transaction{Remove: []string{"batch/" + recordKey(jobID)}})
+		assert.NilError(t, err)
+		awaitWholeScan(t, k)
+		_, owned := k.owned(jobID)
+		assert.Assert(t, !owned, "the owner still holds the job")
+	})
+}
+
+// TestDropLostJobs guards against an owner that drops a job which was accepted after a
+// listing of the records had begun.
+func TestDropLostJobs(t *testing.T) {
+	c := newTestCluster()
+	c.client.hold = make(chan struct{})
+	k := c.startKeeper(t, "k1")
+	awaitScan(t, k)
+	listing, err := c.store.List(t.Context(), "batch/run/")
+	assert.NilError(t, err)
+	submit(t, k, manifest("i1"))
+	k.dropLostJobs(listing)
+	_, owned := k.owned(jobID)
+	assert.Assert(t, owned)
 }
 
 // TestRecordOfEarlierBuild guards against records and ends that builds with other fields
--- a/internal/jobkeeper/sweep.go
+++ b/internal/jobkeeper/sweep.go
@@ -210,10 +210,13 @@
 	}
 }
 
-// dropLostJobs drops the owned jobs whose records name another owner.
+// dropLostJobs drops the owned jobs whose records name another owner, or are gone: another
+// instance has removed them.
 func (k *Keeper) dropLostJobs(listing storer.Listing) {
+	listed := make(map[string]bool, len(listing.Entries))
 	for _, entry := range listing.Entries {
 		id := strings.TrimPrefix(entry.Key, k.key("run/"))
+		listed[id] = true
 		j, ok := k.owned(id)
 		if !ok {
 			continue
@@ -228,6 +231,15 @@
 			k.dropOwned(j)
 		}
 	}
+	for i := range k.shards {
+		for _, j := range k.shards[i].all() {
+			// A record that was written after the listing began may be missing in it.
+			if !listed[j.manifest.Job] && j.recordVersion() <= listing.Version {
+				k.log(j.manifest.Job).WithField("version", listing.Version).Info("job dropped: its record is gone")
+				k.dropOwned(j)
+			}
+		}
+	}
 }
 
 // shouldTakeOver reports whether this instance should become the owner of a job. Of a job
