fix: results are removed only while the record of their job is unchanged

If the record had changed since the scan, readers of that job met missing results.

Change: each group of removals expects the record at the version that was read. The record goes last, together with the end: an interrupted removal is found by the next scan, and an ended job is not taken for an open one. The number of calls to the store is the same.

--- a/internal/jobkeeper/retention_test.go
+++ b/internal/jobkeeper/retention_test.go
@@ -156,6 +156,36 @@
 	assert.Assert(t, owned)
 }
 
+// TestRemovalOfChangedJob guards against results that are removed although the record of
+// their job has changed since it was read.
+func TestRemovalOfChangedJob(t *testing.T) {
+	c := newTestCluster()
+	c.storeJob(t, manifest("i1"))
+	k := c.startKeeper(t, "k1")
+	record, version, err := k.readRecord(t.Context(), jobID)
+	assert.NilError(t, err)
+	record.Segments = 2 * maxRemovals
+	for n := range record.Segments {
+		c.put(t, "batch/"+segmentKey(jobID, n), []byte{0x80})
+	}
+	assertSegments := func(t *testing.T, want int) {
+		t.Helper()
+		listing, err := c.store.List(t.Context(), "batch/"+segmentPrefix(jobID))
+		assert.NilError(t, err)
+		assert.Equal(t, len(listing.Entries), want)
+	}
+	t.Run("a changed job stays whole", func(t *testing.T) {
+		k.remove(t.Context(), jobID, record, version-1)
+		assertSegments(t, record.Segments)
+		assert.Assert(t, isStored(t, k))
+	})
+	t.Run("an unchanged one goes", func(t *testing.T) {
+		k.remove(t.Context(), jobID, record, version)
+		assertSegments(t, 0)
+		assert.Assert(t, !isStored(t, k))
+	})
+}
+
 // TestRecordOfEarlierBuild guards against records and ends that builds with other fields
 // cannot read from each other.
 func TestRecordOfEarlierBuild(t *testing.T) {
--- a/internal/jobkeeper/sweep.go
+++ b/internal/jobkeeper/sweep.go
@@ -315,34 +315,26 @@
 
 func canOwnJobs(m enroller.Member) bool { return !m.Leaving }
 
-// removeKeys deletes keys in groups of maxRemovals.
-func (k *Keeper) removeKeys(ctx context.Context, keys []string) {
-	for group := range slices.Chunk(keys, maxRemovals) {
-		if _, err := k.cfg.Store.Commit(ctx, storer.Transaction{Remove: group}); err != nil {
-			k.cfg.Logger.WithError(err).Warn("failed to remove keys of an expired job")
-		}
-	}
-}
-
-// remove deletes a job whose retention has ended, if its record has not changed.
+// remove deletes a job whose retention has ended, if its record has not changed. The record
+// goes last, so that a scan finds what an interrupted removal has left, and the end with it,
+// so that such a job is not taken for an open one.
 func (k *Keeper) remove(ctx context.Context, id string, r Record, version int64) {
-	t := storer.Transaction{
-		Expect: []storer.Precondition{{Key: k.key(recordKey(id)), Version: version}},
-		Remove: []string{k.key(recordKey(id)), k.key(progressKey(id)), k.cfg.EndPrefix + id},
-	}
+	var values []string
 	for n := range r.Parts {
-		t.Remove = append(t.Remove, k.key(manifestKey(id, n)))
+		values = append(values, k.key(manifestKey(id, n)))
 	}
 	for n := range r.Segments {
-		t.Remove = append(t.Remove, k.key(segmentKey(id, n)))
-	}
-	if excess := len(t.Remove) - maxRemovals; excess > 0 {
-		k.removeKeys(ctx, t.Remove[maxRemovals:])
-		t.Remove = t.Remove[:maxRemovals]
-	}
-	if _, err := k.cfg.Store.Commit(ctx, t); err != nil {
-		k.log(id).WithError(err).Warn("failed to remove expired job")
-		return
+		values = append(values, k.key(segmentKey(id, n)))
+	}
+	last := []string{k.key(recordKey(id)), k.key(progressKey(id)), k.cfg.EndPrefix + id}
+	fitting := min(len(values), maxRemovals-len(last))
+	last = append(last, values[:fitting]...)
+	unchanged := []storer.Precondition{{Key: k.key(recordKey(id)), Version: version}}
+	for _, group := range append(slices.Collect(slices.Chunk(values[fitting:], maxRemovals)), last) {
+		if _, err := k.cfg.Store.Commit(ctx, storer.Transaction{Expect: unchanged, Remove: group}); err != nil {
+			k.log(id).WithError(err).Warn("failed to remove expired job")
+			return
+		}
 	}
 	if j, ok := k.owned(id); ok {
 		k.dropOwned(j)
