fix: instances that are gone for good are forgotten

The tables of instances that had vanished, and of the waiting tokens that they had reported, grew with each instance that was replaced under another ID, for as long as the process lived.

Cause: an entry was removed only when the instance came back, or the tokens only where a route limits them.

Change: entries that are ten minutes old are forgotten at the next change of the members. By then every other instance has scanned the records several times, and a scan reads from the store which jobs have no owner. No calls to the store.

TestDepartedAreForgotten fails without the change (it does not compile: the entries had no time) and passes with it.

--- a/internal/jobkeeper/keeper.go
+++ b/internal/jobkeeper/keeper.go
@@ -200,9 +200,10 @@
 		members[peer.ID] = peer
 	}
 	k.mu.Lock()
+	k.forgetDeparted()
 	for id, former := range k.members {
 		if now, present := members[id]; !present || now.Leaving && !former.Leaving {
-			k.departed[id] = &departure{}
+			k.departed[id] = &departure{at: k.now()}
 		}
 	}
 	for id, member := range members {
@@ -219,6 +220,22 @@
 	}
 }
 
+// forgetDeparted forgets what is known of instances that went more than departureRetention
+// ago. The caller holds k.mu.
+func (k *Keeper) forgetDeparted() {
+	now := k.now()
+	for id, d := range k.departed {
+		if now.Sub(d.at) > departureRetention {
+			delete(k.departed, id)
+		}
+	}
+	for id, report := range k.peersWaiting {
+		if _, member := k.members[id]; !member && now.Sub(report.reportedAt) > departureRetention {
+			delete(k.peersWaiting, id)
+		}
+	}
+}
+
 // pendingTakeovers returns the departed instances that this instance succeeds and
 // whose jobs it has to scan for. The caller holds k.mu.
 func (k *Keeper) pendingTakeovers() (ids []string) {
@@ -233,7 +250,8 @@
 
 // A departure is what this instance knows of an instance that vanished or is leaving.
 type departure struct {
-	scans       int // Scans for its jobs since.
+	at          time.Time // When its entry was first missing, or said that it leaves.
+	scans       int       // Scans for its jobs since.
 	firstScanAt time.Time
 }
 
--- a/internal/jobkeeper/retention_test.go
+++ b/internal/jobkeeper/retention_test.go
@@ -186,6 +186,34 @@
 	})
 }
 
+// TestDepartedAreForgotten guards against a table of instances that grows with each one that
+// is replaced.
+func TestDepartedAreForgotten(t *testing.T) {
+	k := newTestCluster().startKeeper(t, "k1")
+	k.SetMembers(enroller.Membership{Peers: []enroller.Member{{ID: "m1"}}})
+	k.SetMembers(enroller.Membership{})
+	k.RecordWaiting("m1", nil)
+	assertKnown := func(t *testing.T, want int) {
+		t.Helper()
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		assert.Equal(t, len(k.departed), want)
+		assert.Equal(t, len(k.peersWaiting), want)
+	}
+	t.Run("one that went recently is known", func(t *testing.T) {
+		k.SetMembers(enroller.Membership{})
+		assertKnown(t, 1)
+	})
+	t.Run("one that went long ago is not", func(t *testing.T) {
+		k.mu.Lock()
+		k.departed["m1"].at = time.Now().Add(-2 * departureRetention)
+		k.peersWaiting["m1"] = peerWaiting{reportedAt: time.Now().Add(-2 * departureRetention)}
+		k.mu.Unlock()
+		k.SetMembers(enroller.Membership{})
+		assertKnown(t, 0)
+	})
+}
+
 // TestRecordOfEarlierBuild guards against records and ends that builds with other fields
 // cannot read from each other.
 func TestRecordOfEarlierBuild(t *testing.T) {
--- a/internal/jobkeeper/sweep.go
+++ b/internal/jobkeeper/sweep.go
@@ -18,6 +18,9 @@
 )
 
 const (
+	// departureRetention is how long an instance that has gone is remembered, unless it
+	// comes back. All others have scanned the records several times by then.
+	departureRetention = 10 * time.Minute
 	// sweepInterval is the time between two scans of the records of all jobs if none
 	// is requested.
 	sweepInterval = time.Minute
