fix: jobs that were submitted to an open route can be read

Cause: an open route drops the key, so that the job had no workspace, while reads look a job up by the workspace of their key and always need one.

One without a key has no workspace, and callers of all workspaces may read and end it; where no workspaces are configured, no key is needed. Jobs of a workspace are as closed to others as before. No further calls to the store.

--- a/internal/jobkeeper/end.go
+++ b/internal/jobkeeper/end.go
@@ -142,7 +142,7 @@
 		owner = c.record.Workspace
 		c.mu.Unlock()
 	}
-	if owner != workspace {
+	if !mayAccess(workspace, owner) {
 		return notFound
 	}
 	return nil
--- a/internal/jobkeeper/keeper.go
+++ b/internal/jobkeeper/keeper.go
@@ -364,8 +364,12 @@
 	return held && verified == term
 }
 
-func checkSameWorkspace(a, b string) *refuser.Refusal {
-	if a == b {
+// mayAccess reports whether callers of a workspace may read and end a job of another one.
+// A job without a workspace was submitted by a caller without a key.
+func mayAccess(workspace, ofJob string) bool { return ofJob == "" || ofJob == workspace }
+
+func checkSameWorkspace(known, submitted string) *refuser.Refusal {
+	if mayAccess(submitted, known) {
 		return nil
 	}
 	return refuser.New(refuser.JobConflict, refuser.NotRun, "another workspace submitted a job with this ID")
--- a/internal/jobkeeper/query.go
+++ b/internal/jobkeeper/query.go
@@ -223,7 +223,7 @@
 }
 
 func (k *Keeper) readOwned(ctx context.Context, j *job, workspace string, after int, wait time.Duration) (View, *refuser.Refusal) {
-	if j.manifest.Workspace != workspace {
+	if !mayAccess(workspace, j.manifest.Workspace) {
 		return View{}, notFound
 	}
 	done := make(chan struct{})
@@ -254,7 +254,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.record.Workspace != workspace {
+	if !mayAccess(workspace, c.record.Workspace) {
 		return View{}, notFound
 	}
 	if c.segments < c.record.Segments {
@@ -372,14 +372,14 @@
 	response := jobResponse{Owned: true}
 	switch q.Operation {
 	case operationRead:
-		response.Found = j.manifest.Workspace == q.Workspace
+		response.Found = mayAccess(q.Workspace, j.manifest.Workspace)
 		if response.Found {
 			response.View, response.Owned = k.readConfirmed(ctx, j, q.Workspace, q.After, q.Wait)
 		}
 	case operationBody:
 		response.Body, response.Found, response.Owned = findBody(j, q.Workspace, q.Item)
 	case operationEnd:
-		response.Found = j.manifest.Workspace == q.Workspace
+		response.Found = mayAccess(q.Workspace, j.manifest.Workspace)
 		if response.Found {
 			k.endLocal(j)
 			response.Owned = k.confirmsOwnership()
@@ -426,7 +426,7 @@
 		return nil, k.storeRefusal(id, err)
 	}
 	for _, i := range m.Items {
-		if i.ID == item && m.Workspace == workspace {
+		if i.ID == item && mayAccess(workspace, m.Workspace) {
 			return i.Body, nil
 		}
 	}
@@ -438,7 +438,7 @@
 func findBody(j *job, workspace, item string) (body []byte, found, held bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.manifest.Workspace != workspace {
+	if !mayAccess(workspace, j.manifest.Workspace) {
 		return nil, false, true
 	}
 	for _, i := range j.items {
