fix: the end of a job that is gone does not stay in the store

All instances hold the ends in memory now, and a job submitted under the ID again would have been taken for ended.

Change: a scan removes the ends whose jobs it does not list, one instance for each ID, at the version that was read. An end is written after the record of its job, so that only those not newer than the listing count. One write for each such end, and no further reads.

TestStrayEnds/the_job_is_gone fails without the change (the end is still there) and passes with it.

--- a/internal/jobkeeper/end.go
+++ b/internal/jobkeeper/end.go
@@ -64,13 +64,13 @@
 // ApplyEnds ends the jobs that the store says have ended, by the entries below
 // Config.EndPrefix, and forgets those whose entries are gone.
 func (k *Keeper) ApplyEnds(entries []storer.Entry) {
-	stored := make(map[string]bool, len(entries))
+	stored := make(map[string]int64, len(entries))
 	for _, entry := range entries {
-		stored[strings.TrimPrefix(entry.Key, k.cfg.EndPrefix)] = true
+		stored[strings.TrimPrefix(entry.Key, k.cfg.EndPrefix)] = entry.Version
 	}
 	k.mu.Lock()
 	for id := range k.storedEnds {
-		if !stored[id] {
+		if _, ok := stored[id]; !ok {
 			delete(k.endedJobs, id)
 		}
 	}
@@ -90,6 +90,33 @@
 	}
 }
 
+// removeStrayEnds removes the ends of jobs that the listing of all records lacks: the job was
+// removed while its caller ended it.
+func (k *Keeper) removeStrayEnds(ctx context.Context, listing storer.Listing) {
+	listed := make(map[string]bool, len(listing.Entries))
+	for _, entry := range listing.Entries {
+		listed[strings.TrimPrefix(entry.Key, k.key("run/"))] = true
+	}
+	strays := map[string]int64{}
+	k.mu.Lock()
+	for id, version := range k.storedEnds {
+		// An end is written after the record of its job.
+		if !listed[id] && version <= listing.Version && k.membersKnown && k.successor(id) == k.cfg.Self.ID {
+			strays[id] = version
+		}
+	}
+	k.mu.Unlock()
+	for id, version := range strays {
+		key := k.cfg.EndPrefix + id
+		_, err := k.cfg.Store.Commit(ctx, storer.Transaction{Expect: []storer.Precondition{{Key: key, Version: version}}, Remove: []string{key}})
+		if err != nil {
+			k.log(id).WithError(err).Warn("failed to remove the end of a job that is gone")
+			continue
+		}
+		k.log(id).Info("end of a job that is gone removed")
+	}
+}
+
 // retryNotifyOwner notifies the owner that its job was ended, until that
 // succeeds, the attempts are used up or this instance shuts down.
 func (k *Keeper) retryNotifyOwner(id, workspace string) {
--- a/internal/jobkeeper/keeper.go
+++ b/internal/jobkeeper/keeper.go
@@ -109,7 +109,8 @@
 	// cannot tell which jobs have no owner, and succeeds nobody.
 	membersKnown bool
 	endedJobs    map[string]bool // Jobs that were ended, by job ID.
-	storedEnds   map[string]bool // Those of the last ApplyEnds.
+	// storedEnds holds the versions of the ends of the last ApplyEnds, by job ID.
+	storedEnds map[string]int64
 	// creating holds the jobs that are being written to the store.
 	creating map[string]bool
 	// inDoubt holds the jobs that may have been written to the store although the
--- a/internal/jobkeeper/retention_test.go
+++ b/internal/jobkeeper/retention_test.go
@@ -186,6 +186,33 @@
 	})
 }
 
+// TestStrayEnds guards against ends that stay in the store for ever, since their job was
+// removed while its caller ended it.
+func TestStrayEnds(t *testing.T) {
+	assertEnds := func(t *testing.T, c *testCluster, k *Keeper, want int) {
+		t.Helper()
+		ends, err := c.store.List(t.Context(), "end/")
+		assert.NilError(t, err)
+		k.ApplyEnds(ends.Entries)
+		awaitWholeScan(t, k)
+		ends, err = c.store.List(t.Context(), "end/")
+		assert.NilError(t, err)
+		assert.Equal(t, len(ends.Entries), want)
+	}
+	t.Run("the job is gone", func(t *testing.T) {
+		c, k := startRetaining(t)
+		c.put(t, "end/"+jobID, []byte(workspace))
+		assertEnds(t, c, k, 0)
+	})
+	t.Run("the job is there", func(t *testing.T) {
+		c, k := startRetaining(t)
+		c.client.hold = make(chan struct{})
+		submit(t, k, manifest("i1"))
+		assert.Assert(t, k.End(t.Context(), workspace, jobID) == nil)
+		assertEnds(t, c, k, 1)
+	})
+}
+
 // TestDepartedAreForgotten guards against a table of instances that grows with each one that
 // is replaced.
 func TestDepartedAreForgotten(t *testing.T) {
--- a/internal/jobkeeper/sweep.go
+++ b/internal/jobkeeper/sweep.go
@@ -123,6 +123,7 @@
 			failed = errors.Join(failed, k.takeOverOrphan(ctx, id, r, entry.Version))
 		}
 	}
+	k.removeStrayEnds(ctx, listing)
 	if k.orphans.endScan(k.now()) {
 		k.cfg.Clock.AfterFunc(orphanTakeoverDelay, k.requestSweep)
 	}
